--- /dev/null
+++ b/tables/platform.go
@@ -0,0 +1,68 @@
+package tables
+
+import (
+	"time"
+
+	"github.com/marigoldshelf/marigoldshelf/blackboard"
+	"github.com/marigoldshelf/marigoldshelf/platform"
+)
+
+// LogRead asks an I/O worker to read a stream.
+type LogRead struct {
+	// From is the first offset wanted.
+	From uint64
+	// Wait is how long the platform may hold the answer for new records.
+	Wait time.Duration
+}
+
+// LogBatch is what came of a LogRead.
+type LogBatch struct {
+	From    uint64
+	Records []platform.Record
+	// Err is nil when the read succeeded.
+	Err error
+	// RetryAt is when a failed read is tried again; zero until it is set.
+	RetryAt time.Time
+}
+
+// Append asks an I/O worker to append a record.
+type Append struct {
+	Stream platform.Stream
+	// Data is the encoded record, as a string so that rows can be compared.
+	Data string
+}
+
+// AppendDone is what came of an Append.
+type AppendDone struct {
+	Offset uint64
+	// Err is nil when the record is in the log for certain; see
+	// platform.IsUnknown.
+	Err error
+}
+
+// Platform has the outboxes and inboxes of the I/O workers that talk to the
+// platform's log.
+type Platform struct {
+	// Positions has the offset of the last record of each stream that was
+	// folded into a table which keeps no offset of its own.
+	Positions *blackboard.Table[platform.Stream, uint64]
+	// LogReads has the read wanted on each stream.
+	LogReads *blackboard.Table[platform.Stream, LogRead]
+	// LogBatches has the records read, until a controller takes them.
+	LogBatches *blackboard.Table[platform.Stream, LogBatch]
+	// Appends has the records to append, by record ID.
+	Appends *blackboard.Table[string, Append]
+	// AppendsDone has the outcomes of appends, by record ID, until the asker
+	// takes them.
+	AppendsDone *blackboard.Table[string, AppendDone]
+}
+
+func newPlatform(b *blackboard.Board) Platform {
+	return Platform{
+		Positions:   blackboard.NewTable[platform.Stream, uint64](b, "positions", rankPositions),
+		LogReads:    blackboard.NewTable[platform.Stream, LogRead](b, "log_reads", rankLogReads),
+		LogBatches:  blackboard.NewTable[platform.Stream, LogBatch](b, "log_batches", rankLogBatches),
+		Appends:     blackboard.NewTable[string, Append](b, "appends", rankAppends),
+		AppendsDone: blackboard.NewTable[string, AppendDone](b, "appends_done", rankAppendsDone),
+	}
+}
