The whole path as separate processes

A register becomes a proposal, the customer approves it, the operator releases it, every node puts it in force, and callers get whole answers through any node.

--- /dev/null
+++ b/controllers/activate/activate.go
@@ -0,0 +1,45 @@
+// Package activate is the controller that compiles each released configuration
+// and puts it in force. A configuration is compiled whole or rejected whole,
+// and the version in force only rises.
+package activate
+
+import (
+	"time"
+
+	"github.com/marigoldshelf/marigoldshelf/blackboard"
+	"github.com/marigoldshelf/marigoldshelf/controller"
+	"github.com/marigoldshelf/marigoldshelf/decide/change"
+	"github.com/marigoldshelf/marigoldshelf/decide/route"
+	"github.com/marigoldshelf/marigoldshelf/tables"
+)
+
+// theKey is the controller's only key.
+const theKey = 0
+
+// Register adds the controller.
+func Register(p *controller.Pool, t *tables.Tables) {
+	handle := controller.Register(p, "activate", func(time.Time, int) controller.Result {
+		activate(t)
+		return controller.Result{}
+	})
+	t.Changes.Watch(func() { handle.Add(theKey) })
+}
+
+// activate compiles outside the transaction that swaps the table in: only this
+// controller writes Routes, and it never runs twice at once.
+func activate(t *tables.Tables) {
+	var state change.State
+	var current *route.Table
+	t.Board.Do(func(tx *blackboard.Tx) {
+		state = t.Changes.Get(tx)
+		current = t.Routes.Get(tx)
+	}, t.Changes.Read(), t.Routes.Read())
+	if state.Version == 0 || current != nil && state.Version <= current.Version {
+		return
+	}
+	next, faults := route.Compile(state.Version, state.Config)
+	if len(faults) > 0 {
+		return
+	}
+	t.Board.Do(func(tx *blackboard.Tx) { t.Routes.Set(tx, next) }, t.Routes.Write())
+}
--- /dev/null
+++ b/controllers/logread/logread.go
@@ -0,0 +1,86 @@
+// Package logread is the controller that follows a stream of the platform's
+// log: it keeps one read wanted in the outbox and hands each batch to the
+// stream's consumer.
+package logread
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/marigoldshelf/marigoldshelf/blackboard"
+	"github.com/marigoldshelf/marigoldshelf/controller"
+	"github.com/marigoldshelf/marigoldshelf/platform"
+	"github.com/marigoldshelf/marigoldshelf/tables"
+)
+
+const (
+	// readWait is how long the platform holds a read for new records.
+	readWait = 10 * time.Second
+	// retryDelay is the pause after a failed read.
+	retryDelay = 500 * time.Millisecond
+)
+
+// Consumer folds records into tables.
+type Consumer interface {
+	// Access names the tables that Fold and Next need, beside those of the
+	// log's outbox and inbox.
+	Access() []blackboard.Access
+	// Next returns the first offset that was not folded in yet.
+	Next(tx *blackboard.Tx) uint64
+	// Fold folds records in, in their order. Records it has seen are ignored.
+	Fold(tx *blackboard.Tx, now time.Time, records []platform.Record)
+	// Skip is told that records before offset are no longer retained.
+	Skip(tx *blackboard.Tx, offset uint64)
+}
+
+// Register adds the controller for one stream.
+func Register(p *controller.Pool, t *tables.Tables, s platform.Stream, c Consumer) {
+	r := reader{tables: t, consumer: c}
+	handle := controller.Register(p, "logread", r.reconcile)
+	t.LogBatches.Watch(func(changed platform.Stream) {
+		if changed == s {
+			handle.Add(s)
+		}
+	})
+	handle.Add(s)
+}
+
+type reader struct {
+	tables   *tables.Tables
+	consumer Consumer
+}
+
+func (r reader) reconcile(now time.Time, s platform.Stream) (result controller.Result) {
+	access := append(r.consumer.Access(), r.tables.LogReads.Write(), r.tables.LogBatches.Write())
+	r.tables.Board.Do(func(tx *blackboard.Tx) {
+		result = r.step(tx, now, s)
+	}, access...)
+	return result
+}
+
+// step takes the batch that came, if any, and asks for the next one. A failed
+// read stays in the inbox until its pause is over: the timer's call finds it
+// and asks again.
+func (r reader) step(tx *blackboard.Tx, now time.Time, s platform.Stream) controller.Result {
+	t := r.tables
+	if _, asked := t.LogReads.Get(tx, s); asked {
+		return controller.Result{}
+	}
+	batch, came := t.LogBatches.Get(tx, s)
+	switch {
+	case came && batch.Err != nil && batch.RetryAt.IsZero():
+		batch.RetryAt = now.Add(retryDelay)
+		t.LogBatches.Put(tx, s, batch)
+		return controller.Result{After: retryDelay}
+	case came && batch.Err != nil && now.Before(batch.RetryAt):
+		return controller.Result{After: batch.RetryAt.Sub(now)}
+	case came && eris.Is(batch.Err, platform.ErrExpired):
+		r.consumer.Skip(tx, batch.From)
+	case came:
+		r.consumer.Fold(tx, now, batch.Records)
+	}
+	t.LogBatches.Delete(tx, s)
+	t.LogReads.Put(tx, s, tables.LogRead{From: r.consumer.Next(tx), Wait: readWait})
+	return controller.Result{}
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,245 @@
+// Package node puts a node together: the blackboard, the controllers on their
+// pool, the I/O workers, and the front ends on their listeners. Those who embed
+// the system start here.
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/marigoldshelf/marigoldshelf/blackboard"
+	"github.com/marigoldshelf/marigoldshelf/clock"
+	"github.com/marigoldshelf/marigoldshelf/controller"
+	"github.com/marigoldshelf/marigoldshelf/controllers/activate"
+	"github.com/marigoldshelf/marigoldshelf/controllers/admission"
+	"github.com/marigoldshelf/marigoldshelf/controllers/announce"
+	"github.com/marigoldshelf/marigoldshelf/controllers/calls"
+	"github.com/marigoldshelf/marigoldshelf/controllers/changes"
+	"github.com/marigoldshelf/marigoldshelf/controllers/endpoints"
+	"github.com/marigoldshelf/marigoldshelf/controllers/logread"
+	"github.com/marigoldshelf/marigoldshelf/controllers/submit"
+	"github.com/marigoldshelf/marigoldshelf/decide/admit"
+	"github.com/marigoldshelf/marigoldshelf/encoding/hop"
+	"github.com/marigoldshelf/marigoldshelf/front/caller"
+	"github.com/marigoldshelf/marigoldshelf/front/operator"
+	"github.com/marigoldshelf/marigoldshelf/front/peer"
+	"github.com/marigoldshelf/marigoldshelf/mesh"
+	"github.com/marigoldshelf/marigoldshelf/metrics"
+	"github.com/marigoldshelf/marigoldshelf/outbox"
+	"github.com/marigoldshelf/marigoldshelf/platform"
+	"github.com/marigoldshelf/marigoldshelf/settings"
+	"github.com/marigoldshelf/marigoldshelf/tables"
+)
+
+// stopTimeout bounds how long a stopping node waits for what is under way.
+const stopTimeout = 30 * time.Second
+
+// Options is what a node needs beside its settings.
+type Options struct {
+	Settings settings.Settings
+	// Log is the platform's log service.
+	Log platform.Log
+	// Clock is the node's time.
+	Clock clock.Clock
+	// Seed starts the node's draws.
+	Seed uint64
+	// Board holds the tables; tests give one that checks the lock order.
+	Board *blackboard.Board
+	// Metrics takes the node's counters.
+	Metrics *metrics.Metrics
+}
+
+// Node is one process of the system. Make it with New, then call Run.
+type Node struct {
+	options   Options
+	tables    *tables.Tables
+	pool      *controller.Pool
+	ioPool    *controller.Pool
+	self      mesh.Member
+	listeners listeners
+}
+
+// listeners are the node's open ports.
+type listeners struct {
+	callers, peers, operators net.Listener
+}
+
+// New opens the node's ports and puts its parts together.
+func New(o Options) (*Node, error) {
+	n := &Node{
+		options: o,
+		tables:  tables.New(o.Board),
+		pool:    controller.New(o.Clock, o.Settings.Workers),
+		ioPool:  controller.New(o.Clock, o.Settings.IOWorkers),
+	}
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
+	s := o.Settings
+	n.self = mesh.Member{
+		Host:        s.Host,
+		Zone:        s.Zone,
+		Region:      s.Region,
+		Service:     s.Backend.Service,
+		Incarnation: mesh.Incarnation(o.Clock.Now().UnixNano()),
+		State:       mesh.Alive,
+		PeerAddress: n.listeners.peers.Addr().String(),
+	}
+	return n, n.registerControllers()
+}
+
+// Addresses are the ports that a node listens on.
+type Addresses struct {
+	Callers, Peers, Operators string
+}
+
+// Addresses returns the node's ports.
+func (n *Node) Addresses() Addresses {
+	return Addresses{
+		Callers:   n.listeners.callers.Addr().String(),
+		Peers:     n.listeners.peers.Addr().String(),
+		Operators: n.listeners.operators.Addr().String(),
+	}
+}
+
+func (n *Node) listen() (err error) {
+	l := n.options.Settings.Listen
+	if n.listeners.callers, err = net.Listen("tcp", l.Callers); err != nil {
+		return eris.Wrap(err, "listen for callers")
+	}
+	if n.listeners.peers, err = net.Listen("tcp", l.Peers); err != nil {
+		return eris.Wrap(err, "listen for peers")
+	}
+	n.listeners.operators, err = net.Listen("tcp", l.Operators)
+	return eris.Wrap(err, "listen for operators")
+}
+
+func (n *Node) registerControllers() error {
+	t := n.tables
+	logread.Register(n.pool, t, platform.Config, changes.Consumer{Tables: t})
+	logread.Register(n.pool, t, platform.Members, announce.Consumer{Tables: t})
+	activate.Register(n.pool, t)
+	endpoints.Register(n.pool, t)
+	submit.Register(n.pool, t)
+	admission.Register(n.pool, t)
+	calls.Register(n.pool, t, calls.Config{
+		Zone:   n.self.Zone,
+		Random: rand.New(rand.NewPCG(n.options.Seed, uint64(n.self.Incarnation))),
+	})
+	backend := n.options.Settings.Backend
+	t.Board.Do(func(tx *blackboard.Tx) {
+		t.Limits.Set(tx, admit.Limits{Slots: backend.Slots, Queue: *backend.Queue})
+	}, t.Limits.Write())
+	return announce.Register(n.pool, t, n.self)
+}
+
+// registerIO adds the I/O workers' duties.
+func (n *Node) registerIO(ctx context.Context) {
+	t := n.tables
+	log := n.options.Log
+	outbox.Serve(ctx, n.ioPool, t.Board, "read log", t.LogReads, t.LogBatches,
+		func(ctx context.Context, s platform.Stream, r tables.LogRead) tables.LogBatch {
+			records, err := log.Read(ctx, s, r.From, r.Wait)
+			return tables.LogBatch{From: r.From, Records: records, Err: err}
+		})
+	outbox.Serve(ctx, n.ioPool, t.Board, "append", t.Appends, t.AppendsDone,
+		func(ctx context.Context, _ string, a tables.Append) tables.AppendDone {
+			offset, err := log.Append(ctx, a.Stream, []byte(a.Data))
+			return tables.AppendDone{Offset: offset, Err: err}
+		})
+}
+
+// Run serves until ctx ends, then lets what is under way finish.
+func (n *Node) Run(ctx context.Context) error {
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	n.registerIO(work)
+	servers, err := n.servers()
+	if err != nil {
+		return err
+	}
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer stopWork()
+	group.Go(func() { n.pool.Run(work) })
+	group.Go(func() { n.ioPool.Run(work) })
+	for _, s := range servers {
+		group.Go(func() { s.run() })
+	}
+	<-ctx.Done()
+	return shutdown(servers)
+}
+
+// server is one front end on its listener.
+type server struct {
+	http     *http.Server
+	listener net.Listener
+}
+
+// run serves until shutdown; the error it ends with then says nothing.
+func (s server) run() { _ = s.http.Serve(s.listener) }
+
+const (
+	headerTimeout  = 10 * time.Second
+	maxHeaderBytes = 64 << 10
+)
+
+func newServer(l net.Listener, h http.Handler) server {
+	return server{listener: l, http: &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}}
+}
+
+func (n *Node) servers() ([]server, error) {
+	api := &operator.API{
+		Tables: n.tables, Clock: n.options.Clock, Self: n.self, Logins: n.options.Settings.Logins,
+	}
+	operators, err := api.Handler()
+	if err != nil {
+		return nil, eris.Wrap(err, "operators' API")
+	}
+	return []server{
+		newServer(n.listeners.callers, n.callerHandler()),
+		newServer(n.listeners.peers, n.peerHandler()),
+		newServer(n.listeners.operators, operators),
+	}, nil
+}
+
+func shutdown(servers []server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	for _, s := range servers {
+		if err := s.http.Shutdown(ctx); err != nil {
+			return eris.Wrap(err, "stop")
+		}
+	}
+	return nil
+}
+
+func (n *Node) callerHandler() http.Handler {
+	return &caller.Handler{
+		Tables: n.tables,
+		Clock:  n.options.Clock,
+		Peers:  hop.NewTransport(0),
+		Count:  n.countCall,
+	}
+}
+
+func (n *Node) peerHandler() http.Handler {
+	backend := n.options.Settings.Backend
+	return &peer.Handler{
+		Tables:    n.tables,
+		Clock:     n.options.Clock,
+		Host:      n.self.Host,
+		Service:   n.self.Service,
+		Backend:   backend.Address,
+		Transport: hop.NewTransport(backend.Connections),
+		Count:     n.countAdmission,
+	}
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,220 @@
+// Package settings reads and checks the settings file of a node: one JSON
+// object. Unknown keys are refused, and every fault is reported at once with
+// its key.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/netip"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/marigoldshelf/marigoldshelf/decide/change"
+	"github.com/marigoldshelf/marigoldshelf/mesh"
+)
+
+// Settings is the whole file.
+type Settings struct {
+	// Host is the node's name in the asset register. Required.
+	Host mesh.HostID `json:"host"`
+	// Zone is the node's availability zone. Required.
+	Zone mesh.Zone `json:"zone"`
+	// Region is the region of the zone; it may be left out when there is one.
+	Region   mesh.Region  `json:"region"`
+	Listen   Listen       `json:"listen"`
+	Backend  Backend      `json:"backend"`
+	Platform Platform     `json:"platform"`
+	Logins   []Credential `json:"credentials"`
+	// Workers is the number of workers of the controllers' pool, 1 to 256.
+	// Default 4.
+	Workers int `json:"workers"`
+	// IOWorkers is the number of workers that send what outboxes hold, 4 to
+	// 256. Default 16.
+	IOWorkers int `json:"io_workers"`
+}
+
+// Listen has the addresses that the node listens on, as IP:port.
+type Listen struct {
+	// Callers is for callers' requests. Required.
+	Callers string `json:"callers"`
+	// Peers is for other nodes; it must be reachable from them. Required.
+	Peers string `json:"peers"`
+	// Operators is for operators and customers. Required.
+	Operators string `json:"operators"`
+}
+
+// Backend describes the host's backend server.
+type Backend struct {
+	// Service is the service that it runs. Required.
+	Service mesh.ServiceName `json:"service"`
+	// Address is its IP:port. Required.
+	Address string `json:"address"`
+	// Slots is the number of requests it runs at once, 1 to 4096. Required.
+	Slots int `json:"slots"`
+	// Connections bounds the connections to it, 1 to 65535. Default 130.
+	Connections int `json:"connections"`
+	// Queue is the number of requests that may wait for a slot, 0 to 65535.
+	// Default twice the slots.
+	Queue *int `json:"queue"`
+}
+
+// Platform says where the platform's log service is.
+type Platform struct {
+	// URL is its address, such as "http://10.0.0.5:7000". Required.
+	URL string `json:"url"`
+}
+
+// Credential is the login of an operator or a customer.
+type Credential struct {
+	Name string `json:"name"`
+	// Role is "operator" or "customer".
+	Role change.Role `json:"role"`
+	// Customer is the customer that a customer's login speaks for.
+	Customer mesh.Customer `json:"customer"`
+	// Token is the secret, at least 16 characters. It is never logged.
+	Token string `json:"token"`
+}
+
+// Fault is one thing wrong with the settings.
+type Fault struct {
+	// Key is the path of the setting, such as "backend.slots".
+	Key  string
+	What string
+}
+
+// Faults is every fault, in the order of the file's keys.
+type Faults []Fault
+
+// Error returns one fault a line.
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i, fault := range f {
+		lines[i] = fault.Key + ": " + fault.What
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Defaults and bounds.
+const (
+	defaultWorkers     = 4
+	defaultIOWorkers   = 16
+	defaultConnections = 130
+	minTokenLength     = 16
+	maxWorkers         = 256
+	minIOWorkers       = 4
+	maxSlots           = 4096
+	maxCount           = 65535
+)
+
+// Load reads and checks a file.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, eris.Wrap(err, "settings")
+	}
+	return Parse(data)
+}
+
+// Parse reads and checks the bytes of a file, and fills in the defaults. The
+// error is Faults, or says where the JSON is malformed.
+func Parse(data []byte) (Settings, error) {
+	var s Settings
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&s); err != nil {
+		return s, eris.Wrap(err, "settings")
+	}
+	s.fillDefaults()
+	if faults := s.check(); len(faults) > 0 {
+		return s, faults
+	}
+	return s, nil
+}
+
+func (s *Settings) fillDefaults() {
+	if s.Workers == 0 {
+		s.Workers = defaultWorkers
+	}
+	if s.IOWorkers == 0 {
+		s.IOWorkers = defaultIOWorkers
+	}
+	if s.Backend.Connections == 0 {
+		s.Backend.Connections = defaultConnections
+	}
+	if s.Backend.Queue == nil {
+		queue := 2 * s.Backend.Slots
+		s.Backend.Queue = &queue
+	}
+}
+
+func (s Settings) check() Faults {
+	var c checker
+	c.text("host", string(s.Host))
+	c.text("zone", string(s.Zone))
+	c.address("listen.callers", s.Listen.Callers)
+	c.address("listen.peers", s.Listen.Peers)
+	c.address("listen.operators", s.Listen.Operators)
+	c.text("backend.service", string(s.Backend.Service))
+	c.address("backend.address", s.Backend.Address)
+	c.between("backend.slots", s.Backend.Slots, 1, maxSlots)
+	c.between("backend.connections", s.Backend.Connections, 1, maxCount)
+	c.between("backend.queue", *s.Backend.Queue, 0, maxCount)
+	c.url("platform.url", s.Platform.URL)
+	for i, login := range s.Logins {
+		c.credential("credentials["+strconv.Itoa(i)+"]", login)
+	}
+	c.between("workers", s.Workers, 1, maxWorkers)
+	c.between("io_workers", s.IOWorkers, minIOWorkers, maxWorkers)
+	return c.faults
+}
+
+// checker collects faults.
+type checker struct {
+	faults Faults
+}
+
+func (c *checker) add(key, what string) { c.faults = append(c.faults, Fault{key, what}) }
+
+func (c *checker) text(key, value string) {
+	if value == "" {
+		c.add(key, "is required")
+	}
+}
+
+func (c *checker) address(key, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		c.add(key, "must be IP:port")
+	}
+}
+
+func (c *checker) between(key string, value, low, high int) {
+	if value < low || value > high {
+		c.add(key, "must be "+strconv.Itoa(low)+" to "+strconv.Itoa(high))
+	}
+}
+
+func (c *checker) url(key, value string) {
+	u, err := url.Parse(value)
+	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+		c.add(key, "must be an http or https URL")
+	}
+}
+
+func (c *checker) credential(key string, login Credential) {
+	c.text(key+".name", login.Name)
+	switch login.Role {
+	case change.Operator:
+	case change.CustomerRole:
+		c.text(key+".customer", string(login.Customer))
+	default:
+		c.add(key+".role", `must be "operator" or "customer"`)
+	}
+	if len(login.Token) < minTokenLength {
+		c.add(key+".token", "must have at least "+strconv.Itoa(minTokenLength)+" characters")
+	}
+}
