--- a/controllers/admission/admission.go
+++ b/controllers/admission/admission.go
@@ -18,11 +18,12 @@
 func Register(p *controller.Pool, t *tables.Tables) {
 	handle := controller.Register(p, "admission", func(now time.Time, _ int) (result controller.Result) {
 		t.Board.Do(func(tx *blackboard.Tx) { result = step(tx, t, now) },
-			t.Limits.Read(), t.Admissions.Write())
+			t.Drain.Read(), t.Limits.Read(), t.Admissions.Write())
 		return result
 	})
 	t.Admissions.Watch(func(string) { handle.Add(theKey) })
 	t.Limits.Watch(func() { handle.Add(theKey) })
+	t.Drain.Watch(func() { handle.Add(theKey) })
 }
 
 // step drops the finished requests, lets the decision change the others, and
@@ -37,7 +38,9 @@
 		present = append(present, r)
 		return true
 	})
-	for _, r := range admit.Decide(now, t.Limits.Get(tx), present) {
+	limits := t.Limits.Get(tx)
+	limits.Draining = t.Drain.Get(tx).Draining
+	for _, r := range admit.Decide(now, limits, present) {
 		t.Admissions.Put(tx, r.ID, r)
 	}
 	return controller.Result{After: untilNextDeadline(tx, t, now)}
--- /dev/null
+++ b/node/control.go
@@ -0,0 +1,6 @@
+package node
+
+import "net/http"
+
+// registerControl adds the nodes' control services to the peers' listener.
+func (n *Node) registerControl(_ *http.ServeMux) {}
--- a/node/node.go
+++ b/node/node.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -16,22 +15,9 @@
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/clock"
 	"github.com/marigoldshelf/marigoldshelf/controller"
-	"github.com/marigoldshelf/marigoldshelf/controllers/activate"
-	"github.com/marigoldshelf/marigoldshelf/controllers/admission"
-	"github.com/marigoldshelf/marigoldshelf/controllers/announce"
-	"github.com/marigoldshelf/marigoldshelf/controllers/calls"
-	"github.com/marigoldshelf/marigoldshelf/controllers/changes"
-	"github.com/marigoldshelf/marigoldshelf/controllers/endpoints"
-	"github.com/marigoldshelf/marigoldshelf/controllers/logread"
-	"github.com/marigoldshelf/marigoldshelf/controllers/submit"
-	"github.com/marigoldshelf/marigoldshelf/decide/admit"
-	"github.com/marigoldshelf/marigoldshelf/encoding/hop"
-	"github.com/marigoldshelf/marigoldshelf/front/caller"
 	"github.com/marigoldshelf/marigoldshelf/front/operator"
-	"github.com/marigoldshelf/marigoldshelf/front/peer"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/metrics"
-	"github.com/marigoldshelf/marigoldshelf/outbox"
 	"github.com/marigoldshelf/marigoldshelf/platform"
 	"github.com/marigoldshelf/marigoldshelf/settings"
 	"github.com/marigoldshelf/marigoldshelf/tables"
@@ -120,39 +106,11 @@
 	return eris.Wrap(err, "listen for operators")
 }
 
+// registerControllers puts the controllers of each area on the pool.
 func (n *Node) registerControllers() error {
-	t := n.tables
-	logread.Register(n.pool, t, platform.Config, changes.Consumer{Tables: t})
-	logread.Register(n.pool, t, platform.Members, announce.Consumer{Tables: t})
-	activate.Register(n.pool, t)
-	endpoints.Register(n.pool, t)
-	submit.Register(n.pool, t)
-	admission.Register(n.pool, t)
-	calls.Register(n.pool, t, calls.Config{
-		Zone:   n.self.Zone,
-		Random: rand.New(rand.NewPCG(n.options.Seed, uint64(n.self.Incarnation))),
-	})
-	backend := n.options.Settings.Backend
-	t.Board.Do(func(tx *blackboard.Tx) {
-		t.Limits.Set(tx, admit.Limits{Slots: backend.Slots, Queue: *backend.Queue})
-	}, t.Limits.Write())
-	return announce.Register(n.pool, t, n.self)
-}
-
-// registerIO adds the I/O workers' duties.
-func (n *Node) registerIO(ctx context.Context) {
-	t := n.tables
-	log := n.options.Log
-	outbox.Serve(ctx, n.ioPool, t.Board, "read log", t.LogReads, t.LogBatches,
-		func(ctx context.Context, s platform.Stream, r tables.LogRead) tables.LogBatch {
-			records, err := log.Read(ctx, s, r.From, r.Wait)
-			return tables.LogBatch{From: r.From, Records: records, Err: err}
-		})
-	outbox.Serve(ctx, n.ioPool, t.Board, "append", t.Appends, t.AppendsDone,
-		func(ctx context.Context, _ string, a tables.Append) tables.AppendDone {
-			offset, err := log.Append(ctx, a.Stream, []byte(a.Data))
-			return tables.AppendDone{Offset: offset, Err: err}
-		})
+	n.registerConfig()
+	n.registerTraffic()
+	return n.registerFleet()
 }
 
 // Run serves until ctx ends, then lets what is under way finish.
@@ -206,7 +164,7 @@
 	}
 	return []server{
 		newServer(n.listeners.callers, n.callerHandler()),
-		newServer(n.listeners.peers, n.peerHandler()),
+		newServer(n.listeners.peers, n.peerMux()),
 		newServer(n.listeners.operators, operators),
 	}, nil
 }
@@ -221,25 +179,3 @@
 	}
 	return nil
 }
-
-func (n *Node) callerHandler() http.Handler {
-	return &caller.Handler{
-		Tables: n.tables,
-		Clock:  n.options.Clock,
-		Peers:  hop.NewTransport(0),
-		Count:  n.countCall,
-	}
-}
-
-func (n *Node) peerHandler() http.Handler {
-	backend := n.options.Settings.Backend
-	return &peer.Handler{
-		Tables:    n.tables,
-		Clock:     n.options.Clock,
-		Host:      n.self.Host,
-		Service:   n.self.Service,
-		Backend:   backend.Address,
-		Transport: hop.NewTransport(backend.Connections),
-		Count:     n.countAdmission,
-	}
-}
--- /dev/null
+++ b/node/traffic.go
@@ -0,0 +1,71 @@
+package node
+
+import (
+	"math/rand/v2"
+	"net/http"
+
+	"github.com/marigoldshelf/marigoldshelf/blackboard"
+	"github.com/marigoldshelf/marigoldshelf/controllers/admission"
+	"github.com/marigoldshelf/marigoldshelf/controllers/calls"
+	"github.com/marigoldshelf/marigoldshelf/decide/admit"
+	"github.com/marigoldshelf/marigoldshelf/encoding/hop"
+	"github.com/marigoldshelf/marigoldshelf/front/caller"
+	"github.com/marigoldshelf/marigoldshelf/front/peer"
+	"github.com/marigoldshelf/marigoldshelf/verdict"
+)
+
+// notAdmitted is the event of a request that the admission point turned away.
+const notAdmitted = "not_admitted"
+
+// registerTraffic adds the controllers of requests.
+func (n *Node) registerTraffic() {
+	t := n.tables
+	backend := n.options.Settings.Backend
+	t.Board.Do(func(tx *blackboard.Tx) {
+		t.Limits.Set(tx, admit.Limits{Slots: backend.Slots, Queue: *backend.Queue})
+	}, t.Limits.Write())
+	admission.Register(n.pool, t)
+	calls.Register(n.pool, t, calls.Config{
+		Zone:   n.self.Zone,
+		Random: rand.New(rand.NewPCG(n.options.Seed, uint64(n.self.Incarnation))),
+	})
+}
+
+func (n *Node) callerHandler() http.Handler {
+	return &caller.Handler{
+		Tables: n.tables,
+		Clock:  n.options.Clock,
+		Peers:  hop.NewTransport(0),
+		Count: func(event caller.Event, reason verdict.Reason) {
+			n.options.Metrics.Count(string(event), reason)
+		},
+	}
+}
+
+// peerMux serves the peers' listener: callers' requests that other nodes
+// forward, and the nodes' control calls under /twirp/.
+func (n *Node) peerMux() http.Handler {
+	mux := http.NewServeMux()
+	n.registerControl(mux)
+	calls := n.peerHandler()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if hop.IsRequest(r.Header) {
+			calls.ServeHTTP(w, r)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func (n *Node) peerHandler() http.Handler {
+	backend := n.options.Settings.Backend
+	return &peer.Handler{
+		Tables:    n.tables,
+		Clock:     n.options.Clock,
+		Host:      n.self.Host,
+		Service:   n.self.Service,
+		Backend:   backend.Address,
+		Transport: hop.NewTransport(backend.Connections),
+		Count:     func(reason verdict.Reason) { n.options.Metrics.Count(notAdmitted, reason) },
+	}
+}
--- a/tables/order.go
+++ b/tables/order.go
@@ -12,21 +12,31 @@
 // The lock order. A transaction locks lower ranks first; Board.Do sees to it.
 // Gaps leave room for new tables in a group.
 const (
+	// Configuration: 100 to 149 changes, 150 to 199 distribution.
 	rankChanges     blackboard.Rank = 100
 	rankRoutes      blackboard.Rank = 110
 	rankSubmissions blackboard.Rank = 120
-	rankMembers     blackboard.Rank = 200
-	rankEndpoints   blackboard.Rank = 300
-	rankLoads       blackboard.Rank = 310
-	rankInFlight    blackboard.Rank = 320
-	rankCalls       blackboard.Rank = 400
-	rankLimits      blackboard.Rank = 500
-	rankAdmissions  blackboard.Rank = 510
-	rankPositions   blackboard.Rank = 890
-	rankLogReads    blackboard.Rank = 900
-	rankLogBatches  blackboard.Rank = 910
-	rankAppends     blackboard.Rank = 920
-	rankAppendsDone blackboard.Rank = 930
+
+	// Fleet: 200 to 299 membership, 300 to 399 where requests can go.
+	rankMembers   blackboard.Rank = 200
+	rankEndpoints blackboard.Rank = 300
+	rankLoads     blackboard.Rank = 310
+	rankInFlight  blackboard.Rank = 320
+
+	// Traffic: 400 to 499 callers' requests, 500 to 599 the admission point.
+	rankCalls      blackboard.Rank = 400
+	rankDrain      blackboard.Rank = 500
+	rankLimits     blackboard.Rank = 510
+	rankAdmissions blackboard.Rank = 520
+
+	// Idempotency keys: 600 to 699.
+
+	// Outboxes and inboxes: 900 to 999.
+	rankPositions   blackboard.Rank = 900
+	rankLogReads    blackboard.Rank = 910
+	rankLogBatches  blackboard.Rank = 920
+	rankAppends     blackboard.Rank = 930
+	rankAppendsDone blackboard.Rank = 940
 )
 
 // Tables is the blackboard of one node.
