Show counters and gauges on a page that scrapers read

Counters had no reporter. Now tally's Prometheus reporter serves /metrics on the operators' listener, beside /healthz and /readyz; a controller copies the tables an operator watches to gauges once a second.

--- a/cmd/marigoldd/main.go
+++ b/cmd/marigoldd/main.go
@@ -10,10 +10,8 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/alecthomas/kong"
-	"github.com/uber-go/tally/v4"
 
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/clock"
@@ -24,9 +22,6 @@
 	"github.com/marigoldshelf/marigoldshelf/settings"
 )
 
-// reportInterval is how often counters are handed to the reporter.
-const reportInterval = time.Second
-
 type arguments struct {
 	Settings string `arg:"" help:"Path of the settings file (JSON)."`
 }
@@ -46,15 +41,16 @@
 	if err != nil {
 		return err
 	}
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{Prefix: "marigold"}, reportInterval)
-	defer closer.Close()
+	counters, page, reporting := metrics.Scraped()
+	defer reporting.Close()
 	n, err := node.New(node.Options{
-		Settings: checked,
-		Log:      httplog.NewClient(checked.Platform.URL, &http.Client{}),
-		Clock:    clock.System{},
-		Seed:     uint64(os.Getpid()),
-		Board:    blackboard.New(),
-		Metrics:  metrics.New(scope),
+		Settings:    checked,
+		Log:         httplog.NewClient(checked.Platform.URL, &http.Client{}),
+		Clock:       clock.System{},
+		Seed:        uint64(os.Getpid()),
+		Board:       blackboard.New(),
+		Metrics:     counters,
+		MetricsPage: page,
 	})
 	if err != nil {
 		return err
--- /dev/null
+++ b/controllers/report/report.go
@@ -0,0 +1,77 @@
+// Package report is the controller that copies what an operator watches from
+// the tables to the gauges, once a second.
+package report
+
+import (
+	"time"
+
+	"github.com/marigoldshelf/marigoldshelf/blackboard"
+	"github.com/marigoldshelf/marigoldshelf/controller"
+	"github.com/marigoldshelf/marigoldshelf/decide/admit"
+	"github.com/marigoldshelf/marigoldshelf/mesh"
+	"github.com/marigoldshelf/marigoldshelf/tables"
+)
+
+// interval is how often the gauges are set.
+const interval = time.Second
+
+// theKey is the controller's only key.
+const theKey = 0
+
+// Gauges takes the values; metrics.Metrics implements it.
+type Gauges interface {
+	// Set sets a gauge.
+	Set(name string, value float64)
+}
+
+// Register adds the controller.
+func Register(p *controller.Pool, t *tables.Tables, g Gauges) {
+	handle := controller.Register(p, "report", func(time.Time, int) controller.Result {
+		reportConfig(t, g)
+		reportMembers(t, g)
+		reportTraffic(t, g)
+		return controller.Result{After: interval}
+	})
+	handle.Add(theKey)
+}
+
+func reportConfig(t *tables.Tables, g Gauges) {
+	t.Board.Do(func(tx *blackboard.Tx) {
+		if routes := t.Routes.Get(tx); routes != nil {
+			g.Set("version", float64(routes.Version))
+		}
+		g.Set("log_offset", float64(t.Changes.Get(tx).Offset))
+	}, t.Changes.Read(), t.Routes.Read())
+}
+
+func reportMembers(t *tables.Tables, g Gauges) {
+	counts := make(map[mesh.MemberState]int)
+	t.Board.Do(func(tx *blackboard.Tx) {
+		t.Members.Each(tx, func(_ mesh.HostID, m mesh.Member) bool {
+			counts[m.State]++
+			return true
+		})
+	}, t.Members.Read())
+	for _, s := range []mesh.MemberState{mesh.Alive, mesh.Suspect, mesh.Leaving, mesh.Dead} {
+		g.Set("members_"+s.String(), float64(counts[s]))
+	}
+}
+
+func reportTraffic(t *tables.Tables, g Gauges) {
+	busy, queued := 0, 0
+	t.Board.Do(func(tx *blackboard.Tx) {
+		g.Set("calls", float64(t.Calls.Len(tx)))
+		g.Set("slots", float64(t.Limits.Get(tx).Slots))
+		t.Admissions.Each(tx, func(_ string, r admit.Request) bool {
+			switch r.State {
+			case admit.Granted:
+				busy++
+			case admit.Waiting:
+				queued++
+			}
+			return true
+		})
+	}, t.Calls.Read(), t.Limits.Read(), t.Admissions.Read())
+	g.Set("slots_busy", float64(busy))
+	g.Set("requests_queued", float64(queued))
+}
--- a/front/operator/operator.go
+++ b/front/operator/operator.go
@@ -46,7 +46,6 @@
 func (a *API) Handler() (http.Handler, error) {
 	app := iris.New()
 	app.Logger().SetLevel("disable")
-	app.Get("/healthz", func(ctx iris.Context) { ctx.WriteString("ok\n") })
 	v1 := app.Party("/v1", a.authenticate, iris.LimitRequestBodySize(maxBodyBytes))
 	v1.Get("/status", a.status)
 	v1.Get("/configuration", a.configuration)
--- a/node/node.go
+++ b/node/node.go
@@ -39,6 +39,8 @@
 	Board *blackboard.Board
 	// Metrics takes the node's counters.
 	Metrics *metrics.Metrics
+	// MetricsPage is served to scrapers; nil for none.
+	MetricsPage http.Handler
 }
 
 // Node is one process of the system. Make it with New, then call Run.
@@ -110,6 +112,7 @@
 func (n *Node) registerControllers() error {
 	n.registerConfig()
 	n.registerTraffic()
+	n.registerObserve()
 	return n.registerFleet()
 }
 
@@ -165,7 +168,7 @@
 	return []server{
 		newServer(n.listeners.callers, n.callerHandler()),
 		newServer(n.listeners.peers, n.peerMux()),
-		newServer(n.listeners.operators, operators),
+		newServer(n.listeners.operators, n.operatorMux(operators)),
 	}, nil
 }
 
--- /dev/null
+++ b/node/observe.go
@@ -0,0 +1,46 @@
+package node
+
+import (
+	"net/http"
+
+	"github.com/marigoldshelf/marigoldshelf/controllers/report"
+)
+
+// registerObserve adds the controllers that show what the node does.
+func (n *Node) registerObserve() {
+	report.Register(n.pool, n.tables, n.options.Metrics)
+}
+
+// operatorMux serves the operators' listener: the API, and without a
+// credential the health, readiness and metrics pages.
+func (n *Node) operatorMux(api http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", api)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { sayHealth(w, "") })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) { sayHealth(w, n.unready()) })
+	if n.options.MetricsPage != nil {
+		mux.Handle("GET /metrics", n.options.MetricsPage)
+	}
+	return mux
+}
+
+// unready says why the node should get no callers yet; empty when it should.
+func (n *Node) unready() string {
+	if n.tables.Routes.Load() == nil {
+		return "no configuration is in force"
+	}
+	if n.tables.Drain.Load().Draining {
+		return "draining"
+	}
+	return ""
+}
+
+// sayHealth answers ok, or 503 with what is wrong.
+func sayHealth(w http.ResponseWriter, fault string) {
+	if fault != "" {
+		http.Error(w, fault, http.StatusServiceUnavailable)
+		return
+	}
+	// A failed write means that the asker is gone.
+	_, _ = w.Write([]byte("ok\n"))
+}
