--- a/cmd/marigold/main.go
+++ b/cmd/marigold/main.go
@@ -30,6 +30,7 @@
 	Veto     answerCommand  `cmd:"" help:"Veto a proposal, as its customer."`
 	Release  answerCommand  `cmd:"" help:"Put an approved proposal in force."`
 	Withhold answerCommand  `cmd:"" help:"Close a proposal without releasing it."`
+	Measure  measureCommand `cmd:"" help:"Send load at given rates and report what came of it."`
 }
 
 func main() {
