A reader behind retention goes on with the oldest record

An expired read only said that the offset was gone, and the reader asked for the same offset again for ever: stepped over a log that had dropped 97 of 100 records, it read none of the last three.

Ruled out: a Bounds request after each expired read, which is a second round trip at the moment when the platform may be busiest.

--- a/controllers/logread/logread.go
+++ b/controllers/logread/logread.go
@@ -30,7 +30,7 @@
 	Next(tx *blackboard.Tx) uint64
 	// Fold folds records in, in their order. Records it has seen are ignored.
 	Fold(tx *blackboard.Tx, now time.Time, records []platform.Record)
-	// Skip is told that records before offset are no longer retained.
+	// Skip is told that records up to and with offset are no longer retained.
 	Skip(tx *blackboard.Tx, offset uint64)
 }
 
@@ -76,7 +76,7 @@
 	case came && batch.Err != nil && now.Before(batch.RetryAt):
 		return controller.Result{After: batch.RetryAt.Sub(now)}
 	case came && eris.Is(batch.Err, platform.ErrExpired):
-		r.consumer.Skip(tx, batch.From)
+		r.skip(tx, batch)
 	case came:
 		r.consumer.Fold(tx, now, batch.Records)
 	}
@@ -84,3 +84,10 @@
 	t.LogReads.Put(tx, s, tables.LogRead{From: r.consumer.Next(tx), Wait: readWait})
 	return controller.Result{}
 }
+
+// skip tells the consumer which records are lost.
+func (r reader) skip(tx *blackboard.Tx, batch tables.LogBatch) {
+	if oldest, told := platform.Oldest(batch.Err); told && oldest > batch.From {
+		r.consumer.Skip(tx, oldest-1)
+	}
+}
