--- /dev/null
+++ b/controller/example_test.go
@@ -0,0 +1,39 @@
+package controller_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/marigoldshelf/marigoldshelf/blackboard"
+	"github.com/marigoldshelf/marigoldshelf/clock"
+	"github.com/marigoldshelf/marigoldshelf/controller"
+)
+
+// A controller watches one table, writes another, and comes back by itself. On
+// a virtual clock the whole session runs on one goroutine.
+func Example() {
+	board := blackboard.New(blackboard.CheckOrder())
+	orders := blackboard.NewTable[string, int](board, "orders", 10)
+	totals := blackboard.NewCell[int](board, "totals", 20)
+	virtual := clock.NewVirtual(time.Unix(0, 0))
+	pool := controller.New(virtual, 4)
+
+	handle := controller.Register(pool, "sum", func(now time.Time, key string) controller.Result {
+		board.Do(func(tx *blackboard.Tx) {
+			amount, _ := orders.Get(tx, key)
+			totals.Set(tx, totals.Get(tx)+amount)
+			orders.Delete(tx, key)
+		}, orders.Write(), totals.Write())
+		return controller.Result{}
+	})
+	orders.Watch(handle.Add)
+
+	board.Do(func(tx *blackboard.Tx) {
+		orders.Put(tx, "a", 3)
+		orders.Put(tx, "b", 4)
+	}, orders.Write())
+	const limit = 100
+	pool.Settle(limit)
+	fmt.Println(totals.Load(), board.Order())
+	// Output: 7 [orders totals]
+}
--- /dev/null
+++ b/outbox/example_test.go
@@ -0,0 +1,31 @@
+package outbox_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/marigoldshelf/marigoldshelf/blackboard"
+	"github.com/marigoldshelf/marigoldshelf/clock"
+	"github.com/marigoldshelf/marigoldshelf/controller"
+	"github.com/marigoldshelf/marigoldshelf/outbox"
+)
+
+// I/O is asked for by a row in one table, and answered by a row in another.
+func Example() {
+	board := blackboard.New(blackboard.CheckOrder())
+	questions := blackboard.NewTable[string, string](board, "questions", 10)
+	answers := blackboard.NewTable[string, string](board, "answers", 20)
+	workers := controller.New(clock.NewVirtual(time.Unix(0, 0)), 1)
+	outbox.Serve(context.Background(), workers, board, "ask", questions, answers,
+		func(_ context.Context, key, question string) string { return "answer to " + question })
+
+	board.Do(func(tx *blackboard.Tx) { questions.Put(tx, "q1", "status?") }, questions.Write())
+	const limit = 10
+	workers.Settle(limit)
+	board.Do(func(tx *blackboard.Tx) {
+		answer, _ := answers.Get(tx, "q1")
+		fmt.Println(answer, questions.Len(tx))
+	}, questions.Read(), answers.Read())
+	// Output: answer to status? 0
+}
