--- a/cmd/marigoldd/main.go
+++ b/cmd/marigoldd/main.go
@@ -51,6 +51,7 @@
 		Board:       blackboard.New(),
 		Metrics:     counters,
 		MetricsPage: page,
+		Logger:      log,
 	})
 	if err != nil {
 		return err
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/marigoldshelf/marigoldshelf/clock"
 	"github.com/marigoldshelf/marigoldshelf/controller"
 	"github.com/marigoldshelf/marigoldshelf/front/operator"
+	"github.com/marigoldshelf/marigoldshelf/logs"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/metrics"
 	"github.com/marigoldshelf/marigoldshelf/platform"
@@ -41,6 +42,8 @@
 	Metrics *metrics.Metrics
 	// MetricsPage is served to scrapers; nil for none.
 	MetricsPage http.Handler
+	// Logger takes the node's log; nil for none.
+	Logger *logs.Logger
 }
 
 // Node is one process of the system. Make it with New, then call Run.
--- a/node/observe.go
+++ b/node/observe.go
@@ -3,12 +3,30 @@
 import (
 	"net/http"
 
+	"github.com/marigoldshelf/marigoldshelf/controllers/journal"
 	"github.com/marigoldshelf/marigoldshelf/controllers/report"
+	"github.com/marigoldshelf/marigoldshelf/outbox"
+	"github.com/marigoldshelf/marigoldshelf/tables"
 )
 
-// registerObserve adds the controllers that show what the node does.
+// registerObserve adds the controllers that show what the node does, and the
+// I/O workers' duty of writing the log.
 func (n *Node) registerObserve() {
 	report.Register(n.pool, n.tables, n.options.Metrics)
+	if n.options.Logger == nil {
+		return
+	}
+	journal.Register(n.pool, n.tables)
+	outbox.Drain(n.ioPool, n.tables.Board, "write log", n.tables.Lines, n.writeLine)
+}
+
+func (n *Node) writeLine(_ string, line tables.Line) {
+	part := n.options.Logger.Part(line.Part)
+	if line.Warning {
+		part.Warn(line.Sentence)
+		return
+	}
+	part.Info(line.Sentence)
 }
 
 // operatorMux serves the operators' listener: the API, and without a
--- a/outbox/outbox.go
+++ b/outbox/outbox.go
@@ -39,9 +39,7 @@
 		}
 		result := send(ctx, key, request)
 		board.Do(func(tx *blackboard.Tx) {
-			if current, _ := out.Get(tx, key); current == request {
-				out.Delete(tx, key)
-			}
+			deleteSent(tx, out, key, request)
 			in.Put(tx, key, result)
 		}, out.Write(), in.Write())
 		return controller.Result{}
@@ -49,7 +47,35 @@
 	out.Watch(handle.Add)
 }
 
+// Drain makes pool send every row put into out, as Serve does, where nobody
+// needs the result.
+func Drain[K cmp.Ordered, Req comparable](
+	pool *controller.Pool,
+	board *blackboard.Board,
+	name string,
+	out *blackboard.Table[K, Req],
+	send func(key K, request Req),
+) {
+	handle := controller.Register(pool, name, func(_ time.Time, key K) controller.Result {
+		request, found := take(board, out, key)
+		if !found {
+			return controller.Result{}
+		}
+		send(key, request)
+		board.Do(func(tx *blackboard.Tx) { deleteSent(tx, out, key, request) }, out.Write())
+		return controller.Result{}
+	})
+	out.Watch(handle.Add)
+}
+
 func take[K cmp.Ordered, Req any](b *blackboard.Board, out *blackboard.Table[K, Req], key K) (request Req, found bool) {
 	b.Do(func(tx *blackboard.Tx) { request, found = out.Get(tx, key) }, out.Read())
 	return request, found
 }
+
+// deleteSent deletes the row that was sent, unless it was replaced meanwhile.
+func deleteSent[K cmp.Ordered, Req comparable](tx *blackboard.Tx, out *blackboard.Table[K, Req], key K, sent Req) {
+	if current, _ := out.Get(tx, key); current == sent {
+		out.Delete(tx, key)
+	}
+}
--- a/tables/order.go
+++ b/tables/order.go
@@ -31,12 +31,16 @@
 
 	// Idempotency keys: 600 to 699.
 
-	// Outboxes and inboxes: 900 to 999.
+	// Outboxes and inboxes: 900 to 979.
 	rankPositions   blackboard.Rank = 900
 	rankLogReads    blackboard.Rank = 910
 	rankLogBatches  blackboard.Rank = 920
 	rankAppends     blackboard.Rank = 930
 	rankAppendsDone blackboard.Rank = 940
+
+	// What the node says of itself: 980 to 999.
+	rankTold  blackboard.Rank = 980
+	rankLines blackboard.Rank = 990
 )
 
 // Tables is the blackboard of one node.
@@ -46,6 +50,7 @@
 	Fleet
 	Traffic
 	Platform
+	Journal
 }
 
 // New returns the empty tables of a node on board b.
@@ -56,5 +61,6 @@
 		Fleet:    newFleet(b),
 		Traffic:  newTraffic(b),
 		Platform: newPlatform(b),
+		Journal:  newJournal(b),
 	}
 }
