Nodes reach each other through a Network, which tests can cut

Whole nodes could only be tested as processes. A node now opens ports and connections through network.Network; internal/memnet is one in memory with latency, loss, cuts that heal and hosts that die, for synctest bubbles, where time is virtual.

--- a/cmd/fleet-standin/measure.go
+++ b/cmd/fleet-standin/measure.go
@@ -17,6 +17,7 @@
 	"github.com/marigoldshelf/marigoldshelf/front/operator"
 	"github.com/marigoldshelf/marigoldshelf/measure"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
+	"github.com/marigoldshelf/marigoldshelf/network"
 )
 
 const (
@@ -151,7 +152,7 @@
 	}
 	done, err := measure.Run(ctx, experiment, measure.Config{
 		Targets:   f.addresses(func(n member) string { return n.Callers }),
-		Transport: hop.NewTransport(0),
+		Transport: hop.NewTransport(network.System{}, 0),
 		Clock:     clock.System{},
 	})
 	report.Load = &done
--- a/cmd/marigold/measure.go
+++ b/cmd/marigold/measure.go
@@ -10,6 +10,7 @@
 	"github.com/marigoldshelf/marigoldshelf/clock"
 	"github.com/marigoldshelf/marigoldshelf/encoding/hop"
 	"github.com/marigoldshelf/marigoldshelf/measure"
+	"github.com/marigoldshelf/marigoldshelf/network"
 )
 
 type measureCommand struct {
@@ -29,7 +30,7 @@
 	}
 	report, err := measure.Run(context.Background(), experiment, measure.Config{
 		Targets:   c.Targets,
-		Transport: hop.NewTransport(0),
+		Transport: hop.NewTransport(network.System{}, 0),
 		Clock:     clock.System{},
 	})
 	if err != nil {
--- a/encoding/hop/transport.go
+++ b/encoding/hop/transport.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/marigoldshelf/marigoldshelf/network"
 	"github.com/marigoldshelf/marigoldshelf/verdict"
 )
 
@@ -22,14 +23,13 @@
 // NewTransport returns the transport of one hop: HTTP/1.1 with one request on
 // a connection at a time, so that no request waits behind another's bytes.
 // perHost bounds the connections to one address; zero is without bound.
-func NewTransport(perHost int) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func NewTransport(from network.Network, perHost int) *http.Transport {
 	idle := perHost
 	if idle == 0 {
 		idle = 64
 	}
 	return &http.Transport{
-		DialContext:           dialer.DialContext,
+		DialContext:           dialWithin(from),
 		MaxConnsPerHost:       perHost,
 		MaxIdleConnsPerHost:   idle,
 		IdleConnTimeout:       idleTimeout,
@@ -38,6 +38,15 @@
 	}
 }
 
+// dialWithin bounds the time that a connection takes to be made.
+func dialWithin(from network.Network) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, kind, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		return from.DialContext(ctx, kind, address)
+	}
+}
+
 // TransportFailure says what an error of a transport means for the request: it
 // did not run when no connection was made, and may have otherwise.
 func TransportFailure(err error) *verdict.Error {
--- /dev/null
+++ b/internal/memnet/memnet_test.go
@@ -0,0 +1,86 @@
+package memnet_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/marigoldshelf/marigoldshelf/internal/memnet"
+	"github.com/marigoldshelf/marigoldshelf/network"
+)
+
+var _ network.Network = (*memnet.Host)(nil)
+
+// serve answers every request at the address and returns how to stop.
+func serve(t *testing.T, l net.Listener) {
+	t.Helper()
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(w, r.Body)
+	})}
+	go server.Serve(l)
+	t.Cleanup(func() { server.Close() })
+}
+
+func TestHTTPAcrossACutThatHeals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New(time.Millisecond, 1)
+		l, err := n.Host("10.0.0.2").Listen("10.0.0.2:80")
+		must.NoError(t, err)
+		serve(t, l)
+		transport := &http.Transport{DialContext: n.Host("10.0.0.1").DialContext}
+		defer transport.CloseIdleConnections()
+		get := func(timeout time.Duration) error {
+			ctx, cancel := context.WithTimeout(t.Context(), timeout)
+			defer cancel()
+			request, err := http.NewRequestWithContext(ctx, "GET", "http://10.0.0.2:80/", nil)
+			must.NoError(t, err)
+			response, err := transport.RoundTrip(request)
+			if err == nil {
+				response.Body.Close()
+			}
+			return err
+		}
+		must.NoError(t, get(time.Second))
+		n.SetCut(func(from, to string) bool { return from == "10.0.0.1" })
+		must.ErrorIs(t, get(time.Second), context.DeadlineExceeded)
+		time.AfterFunc(time.Second, func() { n.SetCut(nil) })
+		must.NoError(t, get(2*time.Second))
+		n.Kill("10.0.0.2")
+		must.Error(t, get(time.Second))
+	})
+}
+
+func TestDatagramsVanishByLossAndCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New(time.Millisecond, 1)
+		a, err := n.Host("10.0.0.1").ListenPacket("10.0.0.1:0")
+		must.NoError(t, err)
+		b, err := n.Host("10.0.0.2").ListenPacket("10.0.0.2:0")
+		must.NoError(t, err)
+		count := func() (got int) {
+			for range 200 {
+				_, err := a.WriteTo([]byte("x"), b.LocalAddr())
+				must.NoError(t, err)
+			}
+			must.NoError(t, b.SetReadDeadline(time.Now().Add(time.Second)))
+			for {
+				if _, _, err := b.ReadFrom(make([]byte, 10)); err != nil {
+					return got
+				}
+				got++
+			}
+		}
+		must.Eq(t, 200, count())
+		n.SetLoss(0.5)
+		must.Between(t, 60, count(), 140)
+		n.SetLoss(0)
+		n.SetCut(func(_, to string) bool { return to == "10.0.0.2" })
+		must.Zero(t, count())
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/marigoldshelf/marigoldshelf/logs"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/metrics"
+	"github.com/marigoldshelf/marigoldshelf/network"
 	"github.com/marigoldshelf/marigoldshelf/platform"
 	"github.com/marigoldshelf/marigoldshelf/settings"
 	"github.com/marigoldshelf/marigoldshelf/tables"
@@ -32,6 +33,8 @@
 	Settings settings.Settings
 	// Log is the platform's log service.
 	Log platform.Log
+	// Network opens the node's ports and connections; nil for the host's.
+	Network network.Network
 	// Clock is the node's time.
 	Clock clock.Clock
 	// Seed starts the node's draws.
@@ -54,6 +57,8 @@
 	ioPool    *controller.Pool
 	self      mesh.Member
 	listeners listeners
+	// transports are those whose idle connections end with the node.
+	transports []*http.Transport
 }
 
 // listeners are the node's open ports.
@@ -63,6 +68,9 @@
 
 // New opens the node's ports and puts its parts together.
 func New(o Options) (*Node, error) {
+	if o.Network == nil {
+		o.Network = network.System{}
+	}
 	n := &Node{
 		options: o,
 		tables:  tables.New(o.Board),
@@ -101,13 +109,13 @@
 
 func (n *Node) listen() (err error) {
 	l := n.options.Settings.Listen
-	if n.listeners.callers, err = net.Listen("tcp", l.Callers); err != nil {
+	if n.listeners.callers, err = n.options.Network.Listen(l.Callers); err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
-	if n.listeners.peers, err = net.Listen("tcp", l.Peers); err != nil {
+	if n.listeners.peers, err = n.options.Network.Listen(l.Peers); err != nil {
 		return eris.Wrap(err, "listen for peers")
 	}
-	n.listeners.operators, err = net.Listen("tcp", l.Operators)
+	n.listeners.operators, err = n.options.Network.Listen(l.Operators)
 	return eris.Wrap(err, "listen for operators")
 }
 
@@ -137,9 +145,16 @@
 		group.Go(func() { s.run() })
 	}
 	<-ctx.Done()
+	defer n.closeIdle()
 	return shutdown(servers)
 }
 
+func (n *Node) closeIdle() {
+	for _, t := range n.transports {
+		t.CloseIdleConnections()
+	}
+}
+
 // server is one front end on its listener.
 type server struct {
 	http     *http.Server
--- a/node/traffic.go
+++ b/node/traffic.go
@@ -31,11 +31,19 @@
 	})
 }
 
+// transport returns a transport whose idle connections are closed when the
+// node has stopped.
+func (n *Node) transport(perHost int) *http.Transport {
+	t := hop.NewTransport(n.options.Network, perHost)
+	n.transports = append(n.transports, t)
+	return t
+}
+
 func (n *Node) callerHandler() http.Handler {
 	return &caller.Handler{
 		Tables: n.tables,
 		Clock:  n.options.Clock,
-		Peers:  hop.NewTransport(0),
+		Peers:  n.transport(0),
 		Count: func(event caller.Event, reason verdict.Reason) {
 			n.options.Metrics.Count(string(event), reason)
 		},
@@ -65,7 +73,7 @@
 		Host:      n.self.Host,
 		Service:   n.self.Service,
 		Backend:   backend.Address,
-		Transport: hop.NewTransport(backend.Connections),
+		Transport: n.transport(backend.Connections),
 		Count:     func(reason verdict.Reason) { n.options.Metrics.Count(notAdmitted, reason) },
 	}
 }
