--- a/tables/order.go
+++ b/tables/order.go
@@ -19,6 +19,14 @@
 
 	// Fleet: 200 to 299 membership, 300 to 399 where requests can go.
 	rankMembers   blackboard.Rank = 200
+	rankPeers     blackboard.Rank = 210
+	rankZones     blackboard.Rank = 220
+	rankSelf      blackboard.Rank = 230
+	rankProber    blackboard.Rank = 240
+	rankProbes    blackboard.Rank = 245
+	rankNews      blackboard.Rank = 250
+	rankZoneNews  blackboard.Rank = 260
+	rankContacts  blackboard.Rank = 270
 	rankEndpoints blackboard.Rank = 300
 	rankLoads     blackboard.Rank = 310
 	rankInFlight  blackboard.Rank = 320
@@ -32,11 +40,14 @@
 	// Idempotency keys: 600 to 699.
 
 	// Outboxes and inboxes: 900 to 999.
-	rankPositions   blackboard.Rank = 900
-	rankLogReads    blackboard.Rank = 910
-	rankLogBatches  blackboard.Rank = 920
-	rankAppends     blackboard.Rank = 930
-	rankAppendsDone blackboard.Rank = 940
+	rankPositions    blackboard.Rank = 900
+	rankLogReads     blackboard.Rank = 910
+	rankLogBatches   blackboard.Rank = 920
+	rankAppends      blackboard.Rank = 930
+	rankAppendsDone  blackboard.Rank = 940
+	rankMessageCount blackboard.Rank = 950
+	rankMessagesOut  blackboard.Rank = 960
+	rankMessagesIn   blackboard.Rank = 970
 )
 
 // Tables is the blackboard of one node.
@@ -46,6 +57,7 @@
 	Fleet
 	Traffic
 	Platform
+	Messages
 }
 
 // New returns the empty tables of a node on board b.
@@ -56,5 +68,6 @@
 		Fleet:    newFleet(b),
 		Traffic:  newTraffic(b),
 		Platform: newPlatform(b),
+		Messages: newMessages(b),
 	}
 }
