--- a/node/node.go
+++ b/node/node.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/marigoldshelf/marigoldshelf/clock"
 	"github.com/marigoldshelf/marigoldshelf/controller"
 	"github.com/marigoldshelf/marigoldshelf/front/operator"
+	"github.com/marigoldshelf/marigoldshelf/logs"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/metrics"
 	"github.com/marigoldshelf/marigoldshelf/platform"
@@ -41,6 +43,8 @@
 	Metrics *metrics.Metrics
 	// MetricsPage is served to scrapers; nil for none.
 	MetricsPage http.Handler
+	// Logger takes the node's log; nil for none.
+	Logger *logs.Logger
 }
 
 // Node is one process of the system. Make it with New, then call Run.
@@ -56,6 +60,7 @@
 // listeners are the node's open ports.
 type listeners struct {
 	callers, peers, operators net.Listener
+	probes                    *net.UDPConn
 }
 
 // New opens the node's ports and puts its parts together.
@@ -79,12 +84,15 @@
 		State:       mesh.Alive,
 		PeerAddress: n.listeners.peers.Addr().String(),
 	}
-	return n, n.registerControllers()
+	n.self.Life = n.self.Incarnation
+	n.self.ProbeAddress = n.listeners.probes.LocalAddr().String()
+	n.registerControllers()
+	return n, nil
 }
 
 // Addresses are the ports that a node listens on.
 type Addresses struct {
-	Callers, Peers, Operators string
+	Callers, Peers, Operators, Probes string
 }
 
 // Addresses returns the node's ports.
@@ -93,6 +101,7 @@
 		Callers:   n.listeners.callers.Addr().String(),
 		Peers:     n.listeners.peers.Addr().String(),
 		Operators: n.listeners.operators.Addr().String(),
+		Probes:    n.listeners.probes.LocalAddr().String(),
 	}
 }
 
@@ -104,16 +113,19 @@
 	if n.listeners.peers, err = net.Listen("tcp", l.Peers); err != nil {
 		return eris.Wrap(err, "listen for peers")
 	}
-	n.listeners.operators, err = net.Listen("tcp", l.Operators)
-	return eris.Wrap(err, "listen for operators")
+	if n.listeners.operators, err = net.Listen("tcp", l.Operators); err != nil {
+		return eris.Wrap(err, "listen for operators")
+	}
+	n.listeners.probes, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(l.Probes)))
+	return eris.Wrap(err, "listen for probes")
 }
 
 // registerControllers puts the controllers of each area on the pool.
-func (n *Node) registerControllers() error {
+func (n *Node) registerControllers() {
 	n.registerConfig()
 	n.registerTraffic()
 	n.registerObserve()
-	return n.registerFleet()
+	n.registerFleet()
 }
 
 // Run serves until ctx ends, then lets what is under way finish.
@@ -121,6 +133,8 @@
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	n.registerIO(work)
+	front := n.probeFront()
+	front.RegisterSender(n.ioPool)
 	servers, err := n.servers()
 	if err != nil {
 		return err
@@ -130,6 +144,7 @@
 	defer stopWork()
 	group.Go(func() { n.pool.Run(work) })
 	group.Go(func() { n.ioPool.Run(work) })
+	group.Go(func() { n.receiveProbes(work, front) })
 	for _, s := range servers {
 		group.Go(func() { s.run() })
 	}
--- a/tables/order.go
+++ b/tables/order.go
@@ -39,7 +39,7 @@
 
 	// Idempotency keys: 600 to 699.
 
-	// Outboxes and inboxes: 900 to 999.
+	// Outboxes and inboxes: 900 to 979.
 	rankPositions    blackboard.Rank = 900
 	rankLogReads     blackboard.Rank = 910
 	rankLogBatches   blackboard.Rank = 920
@@ -48,6 +48,10 @@
 	rankMessageCount blackboard.Rank = 950
 	rankMessagesOut  blackboard.Rank = 960
 	rankMessagesIn   blackboard.Rank = 970
+
+	// What the node says of itself: 980 to 999.
+	rankTold  blackboard.Rank = 980
+	rankLines blackboard.Rank = 990
 )
 
 // Tables is the blackboard of one node.
@@ -58,6 +62,7 @@
 	Traffic
 	Platform
 	Messages
+	Journal
 }
 
 // New returns the empty tables of a node on board b.
@@ -69,5 +74,6 @@
 		Traffic:  newTraffic(b),
 		Platform: newPlatform(b),
 		Messages: newMessages(b),
+		Journal:  newJournal(b),
 	}
 }
