--- a/controllers/membership/announce.go
+++ b/controllers/membership/announce.go
@@ -96,7 +96,9 @@
 // no members yet.
 func (f fleet) takeBatch(tx *blackboard.Tx, now time.Time, batch tables.LogBatch) {
 	if eris.Is(batch.Err, platform.ErrExpired) {
-		f.Positions.Put(tx, platform.Members, batch.From)
+		if oldest, told := platform.Oldest(batch.Err); told && oldest > batch.From {
+			f.Positions.Put(tx, platform.Members, oldest-1)
+		}
 		return
 	}
 	for _, r := range batch.Records {
