Fold changes with typed refusals, a fixed digest and bounded memory

Approvals named a digest over Go's print form of the edits, in which the order of edits counted and texts ran into each other.

A changed rule concerned only the customers of its own services. A new rule with a longer prefix takes requests from another customer's rule, and a deleted one gives it some: both need that customer's approval now. Re-putting an entry unchanged concerns nobody.

An ID that came back with another content was answered with the outcome of the first record; it is refused now. IDs seen were kept for ever: they are kept for 2,048 to 4,096 offsets, counted in offsets so that every node drops the same. 256 open and 256 closed proposals are kept.

Two requests under one ID waited for one submission, and the first that was answered deleted it from under the other. Submissions now stay for 30 s after their end, a repeated request joins them, and what a record did is read from the state, whichever way the node came by it.

--- a/blackboard/cell.go
+++ b/blackboard/cell.go
@@ -1,5 +1,7 @@
 package blackboard
 
+import "context"
+
 // cellKey is the only key of a cell's table.
 const cellKey = 0
 
@@ -38,3 +40,8 @@
 	row, _ := c.table.snapshotRow(cellKey)
 	return row
 }
+
+// Await blocks until ready accepts the row, and returns it; see Table.Await.
+func (c *Cell[V]) Await(ctx context.Context, ready func(V) bool) (V, error) {
+	return c.table.Await(ctx, cellKey, func(row V, _ bool) bool { return ready(row) })
+}
--- a/controllers/changes/changes.go
+++ b/controllers/changes/changes.go
@@ -1,5 +1,4 @@
-// Package changes folds the configuration stream into the cell Changes, and
-// notes what became of records that were appended through this node.
+// Package changes folds the configuration stream into the cell Changes.
 package changes
 
 import (
@@ -7,7 +6,6 @@
 
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/decide/change"
-	"github.com/marigoldshelf/marigoldshelf/decide/submit"
 	"github.com/marigoldshelf/marigoldshelf/encoding/record"
 	"github.com/marigoldshelf/marigoldshelf/platform"
 	"github.com/marigoldshelf/marigoldshelf/tables"
@@ -18,9 +16,9 @@
 	Tables *tables.Tables
 }
 
-// Access names the tables of the fold.
+// Access names the table of the fold.
 func (c Consumer) Access() []blackboard.Access {
-	return []blackboard.Access{c.Tables.Changes.Write(), c.Tables.Submissions.Write()}
+	return []blackboard.Access{c.Tables.Changes.Write()}
 }
 
 // Next returns the first offset not folded in yet.
@@ -34,23 +32,16 @@
 	if len(records) == 0 {
 		return
 	}
-	state := c.Tables.Changes.Get(tx)
+	fold := change.NewFold(c.Tables.Changes.Get(tx))
 	for _, r := range records {
-		state = c.apply(tx, state, r)
+		decoded, err := record.DecodeChange(r.Data)
+		if err != nil {
+			fold.Skip(r.Offset)
+			continue
+		}
+		fold.Apply(r.Offset, decoded)
 	}
-	c.Tables.Changes.Set(tx, state)
-}
-
-func (c Consumer) apply(tx *blackboard.Tx, state change.State, r platform.Record) change.State {
-	decoded, err := record.DecodeChange(r.Data)
-	if err != nil {
-		return state.Skip(r.Offset)
-	}
-	next, outcome := state.Apply(r.Offset, decoded)
-	if s, found := c.Tables.Submissions.Get(tx, decoded.ID); found && s.State != submit.InLog {
-		c.Tables.Submissions.Put(tx, decoded.ID, s.ReadBack(outcome))
-	}
-	return next
+	c.Tables.Changes.Set(tx, fold.State())
 }
 
 // Skip is called when records were lost to retention; the state stays as it is
--- /dev/null
+++ b/decide/change/fold_test.go
@@ -0,0 +1,212 @@
+package change_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/marigoldshelf/marigoldshelf/decide/change"
+	"github.com/marigoldshelf/marigoldshelf/mesh"
+)
+
+// log is a state with the offset of its next record.
+type log struct {
+	t     *testing.T
+	state change.State
+	next  uint64
+}
+
+func newLog(t *testing.T) *log { return &log{t: t, next: 1} }
+
+func (l *log) add(r change.Record) change.Outcome {
+	var o change.Outcome
+	l.state, o = l.state.Apply(l.next, r)
+	l.next++
+	return o
+}
+
+func (l *log) propose(id string, e mesh.Edits) change.Outcome {
+	return l.add(change.Record{ID: id, Kind: change.Propose, Proposal: id, By: operator, Base: l.state.Version, Edits: &e})
+}
+
+func (l *log) answer(kind change.Kind, by change.Principal, proposal string) change.Outcome {
+	return l.add(change.Record{ID: fmt.Sprintf("answer-%d", l.next), Kind: kind, By: by, Proposal: proposal,
+		Digest: l.state.Proposals[proposal].Digest})
+}
+
+// release proposes, approves and releases edits.
+func (l *log) release(id string, e mesh.Edits, by ...change.Principal) mesh.Version {
+	l.t.Helper()
+	must.True(l.t, l.propose(id, e).Accepted)
+	for _, customer := range by {
+		must.True(l.t, l.answer(change.Approve, customer, id).Accepted)
+	}
+	o := l.answer(change.Release, operator, id)
+	must.True(l.t, o.Accepted, must.Sprint(o))
+	return o.Version
+}
+
+var (
+	operator  = change.Principal{Name: "nadia", Role: change.Operator}
+	menders   = change.Principal{Name: "samir", Role: change.CustomerRole, Customer: "menders"}
+	stickers  = change.Principal{Name: "liv", Role: change.CustomerRole, Customer: "stickers"}
+	strangers = change.Principal{Name: "eve", Role: change.CustomerRole, Customer: "strangers"}
+)
+
+func rule(id, prefix string, s mesh.ServiceName) mesh.Rule {
+	return mesh.Rule{ID: id, HostName: "shop.example", PathPrefix: prefix, Service: s, Class: mesh.Lookup, DeadlineMillis: 1000}
+}
+
+func host(id mesh.HostID, s mesh.ServiceName) mesh.Host {
+	return mesh.Host{ID: id, Zone: "z", Service: s}
+}
+
+// twoCustomers is an inventory of two customers, with a rule each.
+func twoCustomers() mesh.Edits {
+	return mesh.Edits{
+		PutServices: []mesh.Service{{Name: "desk", Customer: "menders"}, {Name: "store", Customer: "stickers"}},
+		PutHosts:    []mesh.Host{host("h1", "desk"), host("h2", "store"), host("h3", "store")},
+		PutRules:    []mesh.Rule{rule("desk", "/desk", "desk"), rule("store", "/", "store")},
+	}
+}
+
+func TestEveryCustomerConcernedMustApprove(t *testing.T) {
+	l := newLog(t)
+	l.release("first", twoCustomers(), menders, stickers)
+	must.True(t, l.propose("move", mesh.Edits{PutHosts: []mesh.Host{host("h2", "desk")}}).Accepted)
+	must.Eq(t, []mesh.Customer{"menders", "stickers"}, l.state.Proposals["move"].Needs)
+	must.Eq(t, change.NotConcerned, l.answer(change.Approve, strangers, "move").Refusal)
+	must.Eq(t, change.WrongRole, l.answer(change.Approve, operator, "move").Refusal)
+	must.Eq(t, change.WrongRole, l.answer(change.Release, menders, "move").Refusal)
+	must.True(t, l.answer(change.Approve, menders, "move").Accepted)
+	o := l.answer(change.Release, operator, "move")
+	must.Eq(t, change.ApprovalMissing, o.Refusal)
+	must.Eq(t, "not approved by stickers", o.Detail)
+	must.Eq(t, change.WrongDigest, l.add(change.Record{ID: "blind", Kind: change.Approve, By: stickers, Proposal: "move",
+		Digest: change.Digest(l.state.Version, mesh.Edits{})}).Refusal)
+	must.True(t, l.answer(change.Approve, stickers, "move").Accepted)
+	must.True(t, l.answer(change.Release, operator, "move").Accepted)
+	must.Eq(t, "desk", l.state.Config.Hosts["h2"].Service)
+}
+
+func TestConcernedCustomers(t *testing.T) {
+	before := mesh.Config{}.Apply(twoCustomers())
+	both := []mesh.Customer{"menders", "stickers"}
+	for name, c := range map[string]struct {
+		edits mesh.Edits
+		want  []mesh.Customer
+	}{
+		"own host":       {mesh.Edits{PutHosts: []mesh.Host{host("h4", "desk")}}, []mesh.Customer{"menders"}},
+		"deleted host":   {mesh.Edits{DeleteHosts: []mesh.HostID{"h3"}}, []mesh.Customer{"stickers"}},
+		"moved host":     {mesh.Edits{PutHosts: []mesh.Host{host("h3", "desk")}}, both},
+		"moved service":  {mesh.Edits{PutServices: []mesh.Service{{Name: "desk", Customer: "stickers"}}}, both},
+		"moved rule":     {mesh.Edits{PutRules: []mesh.Rule{rule("desk", "/desk", "store")}}, both},
+		"same again":     {mesh.Edits{PutHosts: []mesh.Host{host("h1", "desk")}}, nil},
+		"taken requests": {mesh.Edits{PutRules: []mesh.Rule{rule("new", "/desk/cup", "store")}}, both},
+		"freed requests": {mesh.Edits{DeleteRules: []string{"desk"}}, both},
+		"other deadline": {mesh.Edits{PutRules: []mesh.Rule{{ID: "desk", HostName: "shop.example", PathPrefix: "/desk/",
+			Service: "desk", Class: mesh.Lookup, DeadlineMillis: 9}}}, []mesh.Customer{"menders"}},
+	} {
+		must.Eq(t, c.want, change.Concerned(before, before.Apply(c.edits)), must.Sprint(name))
+	}
+}
+
+func TestOfTwoThatRaceTheFirstReleaseWins(t *testing.T) {
+	l := newLog(t)
+	l.release("first", twoCustomers(), menders, stickers)
+	must.True(t, l.propose("a", mesh.Edits{PutHosts: []mesh.Host{host("a", "desk")}}).Accepted)
+	must.True(t, l.propose("b", mesh.Edits{PutHosts: []mesh.Host{host("b", "desk")}}).Accepted)
+	must.True(t, l.answer(change.Approve, menders, "a").Accepted)
+	must.True(t, l.answer(change.Approve, menders, "b").Accepted)
+	won := l.answer(change.Release, operator, "b")
+	lost := l.answer(change.Release, operator, "a")
+	must.True(t, won.Accepted)
+	must.Eq(t, change.NotOpen, lost.Refusal)
+	must.Eq(t, fmt.Sprintf("version %d was released first; make the change anew from it", won.Version), lost.Detail)
+	must.Eq(t, won.Version, l.state.Version)
+	must.MapNotContainsKey(t, l.state.Config.Hosts, "a")
+}
+
+func TestVetoBeforeTheReleaseWinsAndAfterItChangesNothing(t *testing.T) {
+	l := newLog(t)
+	l.release("first", twoCustomers(), menders, stickers)
+	edit := mesh.Edits{PutHosts: []mesh.Host{host("a", "desk")}}
+	must.True(t, l.propose("a", edit).Accepted)
+	must.True(t, l.answer(change.Approve, menders, "a").Accepted)
+	must.True(t, l.answer(change.Veto, menders, "a").Accepted)
+	must.Eq(t, change.NotOpen, l.answer(change.Release, operator, "a").Refusal)
+	version := l.release("again", edit, menders)
+	late := l.answer(change.Veto, menders, "again")
+	must.Eq(t, change.AlreadyReleased, late.Refusal)
+	must.Eq(t, version, late.Version)
+	must.MapContainsKey(t, l.state.Config.Hosts, "a")
+	must.True(t, l.state.Proposals["again"].Answers[2].Late)
+}
+
+func TestBadVersionIsRefusedWholeWithEveryFault(t *testing.T) {
+	l := newLog(t)
+	l.release("first", twoCustomers(), menders, stickers)
+	before := l.state.Config
+	o := l.propose("bad", mesh.Edits{
+		PutHosts: []mesh.Host{host("good", "desk"), host("lost", "gone")}, DeleteHosts: []mesh.HostID{"h1", "h2", "h3"},
+		DeleteServices: []mesh.ServiceName{"store"},
+	})
+	must.Eq(t, change.BadConfiguration, o.Refusal)
+	must.Len(t, 2, o.Faults) // the host and the rule of services that do not exist
+	must.Eq(t, before, l.state.Config)
+	twice := mesh.Edits{PutHosts: []mesh.Host{host("h1", "desk")}, DeleteHosts: []mesh.HostID{"h1"}}
+	must.Eq(t, change.BadEdits, l.propose("twice", twice).Refusal)
+	must.Eq(t, change.EmptyChange, l.propose("same", mesh.Edits{PutHosts: []mesh.Host{host("h1", "desk")}}).Refusal)
+}
+
+func TestRecordCountsOnce(t *testing.T) {
+	l := newLog(t)
+	l.release("first", twoCustomers(), menders, stickers)
+	r := change.Record{ID: "p", Kind: change.Propose, Proposal: "p", By: operator, Base: l.state.Version,
+		Edits: &mesh.Edits{PutHosts: []mesh.Host{host("a", "desk")}}}
+	first := l.add(r)
+	must.True(t, l.answer(change.Withhold, operator, "p").Accepted)
+	r.AtMillis++ // taken again by another node
+	must.Eq(t, first, l.add(r))
+	must.Eq(t, change.Withheld, l.state.Proposals["p"].Status)
+	r.Reason = "another request"
+	must.Eq(t, change.IDReused, l.add(r).Refusal)
+	same, o := l.state.Apply(2, r) // an offset that was folded in before
+	must.Eq(t, change.IDReused, o.Refusal)
+	must.Eq(t, l.state, same)
+}
+
+func TestStateIsBounded(t *testing.T) {
+	l := newLog(t)
+	l.release("first", twoCustomers(), menders, stickers)
+	l.next--
+	fold := change.NewFold(l.state) // one copy of the maps, not one for each record
+	add := func(kind change.Kind, id, proposal string) change.Outcome {
+		l.next++
+		r := change.Record{ID: id, Kind: kind, By: operator, Proposal: proposal, Base: l.state.Version}
+		if kind == change.Propose {
+			r.Edits = &mesh.Edits{PutHosts: []mesh.Host{host("a", "desk")}}
+		}
+		return fold.Apply(l.next, r)
+	}
+	for i := range 2 * change.SeenSpan {
+		id := fmt.Sprintf("p%d", i)
+		must.True(t, add(change.Propose, id, id).Accepted)
+		must.True(t, add(change.Withhold, "w"+id, id).Accepted)
+	}
+	for i := range change.MaxOpen {
+		id := fmt.Sprintf("open%d", i)
+		must.True(t, add(change.Propose, id, id).Accepted)
+	}
+	must.Eq(t, change.TooManyOpen, add(change.Propose, "more", "more").Refusal)
+	must.Eq(t, change.Malformed, add(change.Propose, strings.Repeat("x", 65), "x").Refusal)
+	state := fold.State()
+	must.LessEq(t, 2*change.SeenSpan, len(state.Seen)+len(state.SeenBefore))
+	must.Eq(t, change.MaxClosed+change.MaxOpen, len(state.Proposals))
+	for i := 2*change.SeenSpan - (change.SeenSpan-change.MaxOpen)/2; i < 2*change.SeenSpan; i++ {
+		_, remembered := state.Recall(fmt.Sprintf("p%d", i)) // less than a span ago
+		must.True(t, remembered)
+	}
+}
--- a/decide/change/state.go
+++ b/decide/change/state.go
@@ -1,274 +1,152 @@
 package change
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
-	"fmt"
 	"maps"
-	"slices"
 
-	"github.com/marigoldshelf/marigoldshelf/decide/route"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 )
 
-// Status is where a proposal stands.
-type Status string
-
-// The statuses of a proposal.
+// Bounds of the state. They are counted in records and edits, never in time, so
+// that every node drops the same things at the same record.
 const (
-	Open     Status = "open"
-	Vetoed   Status = "vetoed"
-	Released Status = "released"
-	Withheld Status = "withheld"
-	Stale    Status = "stale" // another release came first
+	// MaxOpen bounds the open proposals.
+	MaxOpen = 256
+	// MaxOpenEdits bounds the edits of all open proposals together.
+	MaxOpenEdits = 2 * MaxEdits
+	// MaxClosed is the number of closed proposals kept, the last ones closed.
+	MaxClosed = 256
+	// maxClosedEdits is the number of edits up to which a closed proposal
+	// keeps them.
+	maxClosedEdits = 32
+	// SeenSpan is the least number of offsets for which a record's ID is
+	// remembered; at most twice as many.
+	SeenSpan = 2048
 )
 
-// Proposal is a proposed change and the answers to it.
-type Proposal struct {
-	ID       string
-	Digest   string
-	Base     mesh.Version
-	Edits    mesh.Edits
-	By       Principal
-	Status   Status
-	Needs    []mesh.Customer
-	Approved []mesh.Customer
-}
-
-// Approvable reports whether every customer concerned has approved.
-func (p Proposal) Approvable() bool {
-	for _, c := range p.Needs {
-		if !slices.Contains(p.Approved, c) {
-			return false
-		}
-	}
-	return true
-}
-
-// Outcome says what one record did to the state.
-type Outcome struct {
-	// Accepted is false when the record changed nothing.
-	Accepted bool
-	// Refusal is the reason, when it was not accepted.
-	Refusal string
-	// Version is the configuration in force after the record.
-	Version mesh.Version
-}
-
 // State is the fold of the records up to an offset. It is a value: Apply
-// returns a new one and leaves the old as it is.
+// returns a new one and leaves the old as it is. All of it belongs into a
+// snapshot, the IDs seen too.
 type State struct {
 	// Offset is the offset of the last record folded in; zero for none.
-	Offset uint64
+	Offset uint64 `json:"offset"`
 	// Version is the release in force; zero for none.
-	Version mesh.Version
+	Version mesh.Version `json:"version"`
 	// Config is the configuration of that release.
-	Config mesh.Config
-	// Proposals has the proposals by ID.
-	Proposals map[string]Proposal
-	// Seen has the IDs of the records folded in.
-	Seen map[string]Outcome
+	Config mesh.Config `json:"config"`
+	// Proposals has the open and the last closed proposals by ID.
+	Proposals map[string]Proposal `json:"proposals"`
+	// Seen has the records folded in, by ID, since the last multiple of
+	// SeenSpan; SeenBefore those of the span before.
+	Seen       map[string]Seen `json:"seen"`
+	SeenBefore map[string]Seen `json:"seen_before"`
 }
 
-// Digest returns the digest of a proposal's content: hex SHA-256 of its base
-// and edits in a fixed text form.
-func Digest(base mesh.Version, edits mesh.Edits) string {
-	text := fmt.Sprintf("%d %+v", base, edits)
-	sum := sha256.Sum256([]byte(text))
-	return hex.EncodeToString(sum[:])
+// Recall returns what is kept of the record with the ID.
+func (s State) Recall(id string) (Seen, bool) {
+	if seen, found := s.Seen[id]; found {
+		return seen, true
+	}
+	seen, found := s.SeenBefore[id]
+	return seen, found
 }
 
-// Apply folds in the record at offset. A record at or below s.Offset is
-// ignored: records may arrive twice.
+// Apply folds in the record at offset. A record at or below s.Offset changes
+// nothing: records may arrive twice.
 func (s State) Apply(offset uint64, r Record) (State, Outcome) {
-	if offset <= s.Offset {
-		return s, Outcome{Refusal: "already applied", Version: s.Version}
-	}
-	s.Offset = offset
-	if earlier, found := s.Seen[r.ID]; found {
-		return s, earlier
-	}
-	s, refusal := s.fold(offset, r)
-	outcome := Outcome{Accepted: refusal == "", Refusal: refusal, Version: s.Version}
-	s.Seen = with(s.Seen, r.ID, outcome)
-	return s, outcome
+	f := NewFold(s)
+	outcome := f.Apply(offset, r)
+	return f.State(), outcome
 }
 
 // Skip moves the offset past a record that no build can read.
 func (s State) Skip(offset uint64) State {
-	s.Offset = max(s.Offset, offset)
-	return s
+	f := NewFold(s)
+	f.Skip(offset)
+	return f.State()
 }
 
-func (s State) fold(offset uint64, r Record) (State, string) {
-	switch r.Kind {
-	case Propose:
-		return s.propose(r)
-	case Approve:
-		return s.approve(r)
-	case Veto:
-		return s.veto(r)
-	case Release:
-		return s.release(offset, r)
-	case Withhold:
-		return s.withhold(r)
-	default:
-		return s, "unknown kind of record"
-	}
+// Fold folds a batch of records into a state: it copies the state's maps once,
+// not for each record. It is not safe for concurrent use.
+type Fold struct {
+	s          State
+	ownsMaps   bool
+	openEdits  int
+	openNumber int
 }
 
-func (s State) propose(r Record) (State, string) {
-	switch {
-	case r.By.Role != Operator:
-		return s, "only an operator proposes"
-	case r.Edits == nil || r.Edits.Empty():
-		return s, "the proposal changes nothing"
-	case r.Base != s.Version:
-		return s, fmt.Sprintf("made from version %d, but version %d is in force", r.Base, s.Version)
-	}
-	next := s.Config.Apply(*r.Edits)
-	if faults := route.Check(next); len(faults) > 0 {
-		return s, "bad configuration: " + faults.Error()
-	}
-	p := Proposal{
-		ID:     r.ID,
-		Digest: Digest(r.Base, *r.Edits),
-		Base:   r.Base,
-		Edits:  *r.Edits,
-		By:     r.By,
-		Status: Open,
-		Needs:  customersConcerned(s.Config, next, *r.Edits),
-	}
-	s.Proposals = with(s.Proposals, p.ID, p)
-	return s, ""
-}
+// NewFold begins a fold at a state, which it leaves as it is.
+func NewFold(s State) *Fold { return &Fold{s: s} }
 
-func (s State) approve(r Record) (State, string) {
-	p, refusal := s.answerable(r)
-	if refusal != "" {
-		return s, refusal
-	}
-	if !slices.Contains(p.Approved, r.By.Customer) {
-		p.Approved = append(slices.Clone(p.Approved), r.By.Customer)
-	}
-	s.Proposals = with(s.Proposals, p.ID, p)
-	return s, ""
-}
+// State returns the state so far. The fold must not be used after it.
+func (f *Fold) State() State { return f.s }
 
-func (s State) veto(r Record) (State, string) {
-	p, refusal := s.answerable(r)
-	if refusal != "" {
-		return s, refusal
+// Skip moves the offset past a record that no build can read.
+func (f *Fold) Skip(offset uint64) {
+	if offset > f.s.Offset {
+		f.own()
+		f.advance(offset)
 	}
-	p.Status = Vetoed
-	s.Proposals = with(s.Proposals, p.ID, p)
-	return s, ""
 }
 
-// answerable finds the open proposal that a customer's record names exactly.
-func (s State) answerable(r Record) (Proposal, string) {
-	p, found := s.Proposals[r.Proposal]
-	switch {
-	case !found:
-		return p, "no such proposal"
-	case r.By.Role != CustomerRole:
-		return p, "only a customer approves or vetoes"
-	case p.Status != Open:
-		return p, "the proposal is " + string(p.Status)
-	case r.Digest != p.Digest:
-		return p, "the digest names another content"
-	case !slices.Contains(p.Needs, r.By.Customer):
-		return p, "the change does not concern this customer"
+// Apply folds in the record at offset.
+func (f *Fold) Apply(offset uint64, r Record) Outcome {
+	if offset <= f.s.Offset {
+		return f.repeated(r)
 	}
-	return p, ""
-}
-
-func (s State) release(offset uint64, r Record) (State, string) {
-	p, found := s.Proposals[r.Proposal]
-	switch {
-	case !found:
-		return s, "no such proposal"
-	case r.By.Role != Operator:
-		return s, "only an operator releases"
-	case p.Status != Open:
-		return s, "the proposal is " + string(p.Status)
-	case !p.Approvable():
-		return s, "an approval is missing"
+	f.own()
+	f.advance(offset)
+	if !ValidID(r.ID) {
+		return refuse(Malformed, r.malformed()).outcome(f.s.Version)
 	}
-	s.Config = s.Config.Apply(p.Edits)
-	s.Version = mesh.Version(offset)
-	s.Proposals = closeOthers(s.Proposals, p.ID)
-	return s, ""
-}
-
-// closeOthers marks the released proposal, and every open one as stale: they
-// were made from the version before.
-func closeOthers(old map[string]Proposal, released string) map[string]Proposal {
-	rows := make(map[string]Proposal, len(old))
-	for id, p := range old {
-		if id == released {
-			p.Status = Released
-		} else if p.Status == Open {
-			p.Status = Stale
-		}
-		rows[id] = p
+	if earlier, found := f.s.Recall(r.ID); found {
+		return earlier.OutcomeFor(r, f.s.Version)
 	}
-	return rows
+	outcome := f.fold(offset, r).outcome(f.s.Version)
+	f.s.Seen[r.ID] = keep(offset, Fingerprint(r), outcome)
+	return outcome
 }
 
-func (s State) withhold(r Record) (State, string) {
-	p, found := s.Proposals[r.Proposal]
-	switch {
-	case !found:
-		return s, "no such proposal"
-	case r.By.Role != Operator:
-		return s, "only an operator withholds"
-	case p.Status != Open:
-		return s, "the proposal is " + string(p.Status)
+// repeated answers for a record whose offset was folded in before.
+func (f *Fold) repeated(r Record) Outcome {
+	if earlier, found := f.s.Recall(r.ID); found {
+		return earlier.OutcomeFor(r, f.s.Version)
 	}
-	p.Status = Withheld
-	s.Proposals = with(s.Proposals, p.ID, p)
-	return s, ""
+	return refuse(AlreadyApplied, "folded in before").outcome(f.s.Version)
 }
 
-// customersConcerned returns the customers of every service whose routes or
-// resources the edits touch, before or after the change, in order.
-func customersConcerned(before, after mesh.Config, e mesh.Edits) []mesh.Customer {
-	concerned := make(map[mesh.Customer]struct{})
-	for _, c := range []mesh.Config{before, after} {
-		for _, service := range servicesTouched(c, e) {
-			if found, ok := c.Services[service]; ok {
-				concerned[found.Customer] = struct{}{}
-			}
+// own copies the maps that the fold writes, before its first write.
+func (f *Fold) own() {
+	if f.ownsMaps {
+		return
+	}
+	f.ownsMaps = true
+	f.s.Proposals = copied(f.s.Proposals)
+	f.s.Seen = copied(f.s.Seen)
+	for _, p := range f.s.Proposals {
+		if p.Status == Open {
+			f.openNumber++
+			f.openEdits += p.EditCount
 		}
 	}
-	return slices.Sorted(maps.Keys(concerned))
 }
 
-func servicesTouched(c mesh.Config, e mesh.Edits) []mesh.ServiceName {
-	names := slices.Clone(e.DeleteServices)
-	for _, s := range e.PutServices {
-		names = append(names, s.Name)
-	}
-	for _, h := range e.PutHosts {
-		names = append(names, h.Service, c.Hosts[h.ID].Service)
-	}
-	for _, id := range e.DeleteHosts {
-		names = append(names, c.Hosts[id].Service)
-	}
-	for _, r := range e.PutRules {
-		names = append(names, r.Service, c.Rules[r.ID].Service)
+// advance moves the offset, and at each multiple of SeenSpan drops the older
+// half of the IDs seen.
+func (f *Fold) advance(offset uint64) {
+	spans := offset/SeenSpan - f.s.Offset/SeenSpan
+	f.s.Offset = offset
+	if spans == 0 {
+		return
 	}
-	for _, id := range e.DeleteRules {
-		names = append(names, c.Rules[id].Service)
+	f.s.SeenBefore = f.s.Seen
+	if spans > 1 {
+		f.s.SeenBefore = make(map[string]Seen)
 	}
-	return names
+	f.s.Seen = make(map[string]Seen)
 }
 
-// with returns a copy of rows in which key has the given row.
-func with[V any](rows map[string]V, key string, row V) map[string]V {
+func copied[V any](rows map[string]V) map[string]V {
 	next := make(map[string]V, len(rows)+1)
 	maps.Copy(next, rows)
-	next[key] = row
 	return next
 }
--- a/decide/route/route.go
+++ b/decide/route/route.go
@@ -4,6 +4,7 @@
 package route
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -82,3 +83,18 @@
 	}
 	return i[normalHostName(r.HostName)].longest(parent(path))
 }
+
+// Missing returns the rules of i whose match other has no rule for, in the
+// order of their IDs.
+func (i Index) Missing(other Index) []mesh.Rule {
+	var missing []mesh.Rule
+	for name, rules := range i {
+		for path, r := range rules {
+			if _, found := other[name][path]; !found {
+				missing = append(missing, r)
+			}
+		}
+	}
+	slices.SortFunc(missing, func(a, b mesh.Rule) int { return cmp.Compare(a.ID, b.ID) })
+	return missing
+}
--- a/decide/submit/submit.go
+++ b/decide/submit/submit.go
@@ -18,14 +18,23 @@
 	Pending State = "pending"
 	// InLog: the record was read back from the log; Outcome says what it did.
 	InLog State = "in_log"
-	// NotInLog: the platform refused every append.
+	// NotInLog: the platform refused every append of this submission.
 	NotInLog State = "not_in_log"
 	// Unknown: an append went unanswered and the record was not read back.
 	Unknown State = "unknown"
+	// Refused: it was not appended, since the log could only refuse it.
+	Refused State = "refused"
 )
 
-// retryDelay is the pause between two appends of one record.
-const retryDelay = 300 * time.Millisecond
+const (
+	// retryDelay is the pause between two appends of one record.
+	retryDelay = 300 * time.Millisecond
+	// keepFor is how long a settled submission is kept: for those who wait for
+	// it, and for those who ask again.
+	keepFor = 30 * time.Second
+	// MaxRows bounds the submissions of a node.
+	MaxRows = 1024
+)
 
 // Submission is one record on its way into the log.
 type Submission struct {
@@ -39,6 +48,54 @@
 	Unanswered bool
 	// RetryAt is when to append again; zero while an append is under way.
 	RetryAt time.Time
+	// DropAt is when a settled submission is dropped; zero while pending.
+	DropAt time.Time
+}
+
+// Join decides on a record that comes in, beside the submission that the node
+// has under its ID, if there is one. A repeated record joins the submission; one
+// that settled without a certain end is tried again, with what is known of its
+// appends. Another record under the ID is refused. It reports false when rows
+// submissions are too many for one more.
+func Join(earlier Submission, found bool, rows int, r change.Record, deadline time.Time) (Submission, bool) {
+	if !found {
+		return Submission{Record: r, State: Pending, Deadline: deadline}, rows < MaxRows
+	}
+	if change.Fingerprint(earlier.Record) != change.Fingerprint(r) {
+		return Submission{Record: r, State: Refused, Outcome: change.Outcome{
+			Refusal: change.IDReused, Detail: "another request with this ID is under way",
+		}}, true
+	}
+	s := earlier
+	if s.State == InLog || s.State == Refused {
+		return s, true
+	}
+	s.State = Pending
+	s.DropAt = time.Time{}
+	if deadline.After(s.Deadline) {
+		s.Deadline = deadline
+	}
+	return s, true
+}
+
+// Known returns how a record ends that need not be appended: one that is in the
+// log already, one whose ID another record has, and a proposal that the log
+// could only refuse.
+func Known(state change.State, r change.Record) (Submission, bool) {
+	s := Submission{Record: r, State: Refused}
+	if seen, found := state.Recall(r.ID); found {
+		s.Outcome = seen.OutcomeFor(r, state.Version)
+		if s.Outcome.Refusal != change.IDReused {
+			s.State = InLog
+		}
+		return s, true
+	}
+	// A base that is not known yet is left to the log: this node lags.
+	if r.Kind != change.Propose || r.Base > state.Version {
+		return s, false
+	}
+	s.Outcome = state.Preview(r)
+	return s, !s.Outcome.Accepted
 }
 
 // Attempt is what came of one append.
@@ -73,12 +130,18 @@
 	} else {
 		s.State = NotInLog
 	}
+	s.DropAt = now.Add(keepFor)
 	return s
 }
 
-// ReadBack notes that the record was folded in.
-func (s Submission) ReadBack(o change.Outcome) Submission {
+// ReadBack notes that a record with the ID was folded in, and what that means
+// for this one.
+func (s Submission) ReadBack(now time.Time, o change.Outcome) Submission {
 	s.State = InLog
+	if o.Refusal == change.IDReused {
+		s.State = Refused
+	}
 	s.Outcome = o
+	s.DropAt = now.Add(keepFor)
 	return s
 }
--- a/encoding/record/record.go
+++ b/encoding/record/record.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
 
 	"github.com/rotisserie/eris"
 
@@ -13,11 +14,29 @@
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 )
 
-// EncodeChange returns the bytes of a record of the configuration stream.
-func EncodeChange(r change.Record) ([]byte, error) { return encode(r) }
+// MaxChangeBytes bounds a record of the configuration stream; the platform
+// takes at least that.
+const MaxChangeBytes = 1 << 20
+
+// EncodeChange returns the bytes of a record of the configuration stream. A
+// record over MaxChangeBytes is an error.
+func EncodeChange(r change.Record) ([]byte, error) {
+	data, err := encode(r)
+	if err == nil && len(data) > MaxChangeBytes {
+		return nil, eris.Errorf("record: %d bytes, the most is %d", len(data), MaxChangeBytes)
+	}
+	return data, err
+}
 
-// DecodeChange reads a record of the configuration stream.
-func DecodeChange(data []byte) (change.Record, error) { return decode[change.Record](data) }
+// DecodeChange reads a record of the configuration stream. The form never
+// changes: a build that knew a field more would read records that others refuse,
+// and their states would differ. A new form needs a new stream.
+func DecodeChange(data []byte) (change.Record, error) {
+	if len(data) > MaxChangeBytes {
+		return change.Record{}, eris.New("record: too large")
+	}
+	return decode[change.Record](data)
+}
 
 // EncodeMember returns the bytes of an announcement.
 func EncodeMember(m mesh.Member) ([]byte, error) { return encode(m) }
@@ -34,6 +53,11 @@
 	var value T
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
-	err := decoder.Decode(&value)
-	return value, eris.Wrap(err, "record: decode")
+	if err := decoder.Decode(&value); err != nil {
+		return value, eris.Wrap(err, "record: decode")
+	}
+	if _, err := decoder.Token(); !eris.Is(err, io.EOF) {
+		return value, eris.New("record: data after the record")
+	}
+	return value, nil
 }
--- /dev/null
+++ b/front/operator/status.go
@@ -0,0 +1,76 @@
+package operator
+
+import (
+	"github.com/kataras/iris/v12"
+
+	"github.com/marigoldshelf/marigoldshelf/blackboard"
+	"github.com/marigoldshelf/marigoldshelf/decide/change"
+	"github.com/marigoldshelf/marigoldshelf/mesh"
+	"github.com/marigoldshelf/marigoldshelf/metrics"
+	"github.com/marigoldshelf/marigoldshelf/platform"
+)
+
+// Status is the answer to GET /v1/status: what the node knows.
+type Status struct {
+	Host mesh.HostID `json:"host"`
+	Zone mesh.Zone   `json:"zone"`
+	// Version is the version in force at this node, Decided the last one that
+	// it read in the log.
+	Version mesh.Version `json:"version"`
+	Decided mesh.Version `json:"decided"`
+	// Offset is how far it has read the log.
+	Offset uint64 `json:"offset"`
+	// Platform is empty while the last read of the log succeeded, else its
+	// error.
+	Platform string `json:"platform_error,omitempty"`
+	Draining bool   `json:"draining"`
+	// Open is the number of open proposals.
+	Open    int           `json:"open_proposals"`
+	Members []mesh.Member `json:"members"`
+	// Loads is the load last reported by each host, as far as this node asked.
+	Loads map[mesh.HostID]mesh.Load `json:"loads"`
+	// Counts has the node's counters of refusals and retries.
+	Counts []metrics.Counted `json:"counts"`
+}
+
+func (a *API) status(ctx iris.Context) {
+	answer := Status{Host: a.Self.Host, Zone: a.Self.Zone, Loads: map[mesh.HostID]mesh.Load{}, Counts: a.Meter.Counts()}
+	a.configStatus(&answer)
+	a.fleetStatus(&answer)
+	ctx.JSON(answer)
+}
+
+func (a *API) configStatus(answer *Status) {
+	t := a.Tables
+	t.Board.Do(func(tx *blackboard.Tx) {
+		if routes := t.Routes.Get(tx); routes != nil {
+			answer.Version = routes.Version
+		}
+		state := t.Changes.Get(tx)
+		answer.Decided = state.Version
+		answer.Offset = state.Offset
+		for _, p := range state.Proposals {
+			if p.Status == change.Open {
+				answer.Open++
+			}
+		}
+		if batch, found := t.LogBatches.Get(tx, platform.Config); found && batch.Err != nil {
+			answer.Platform = batch.Err.Error()
+		}
+	}, t.Changes.Read(), t.Routes.Read(), t.LogBatches.Read())
+}
+
+func (a *API) fleetStatus(answer *Status) {
+	t := a.Tables
+	t.Board.Do(func(tx *blackboard.Tx) {
+		t.Members.Each(tx, func(_ mesh.HostID, m mesh.Member) bool {
+			answer.Members = append(answer.Members, m)
+			return true
+		})
+		t.Loads.Each(tx, func(id mesh.HostID, l mesh.Load) bool {
+			answer.Loads[id] = l
+			return true
+		})
+		answer.Draining = t.Drain.Get(tx).Draining
+	}, t.Members.Read(), t.Loads.Read(), t.Drain.Read())
+}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -111,11 +111,7 @@
 }
 
 // Empty reports whether the edits change nothing.
-func (e Edits) Empty() bool {
-	puts := len(e.PutServices) + len(e.PutHosts) + len(e.PutRules)
-	deletes := len(e.DeleteServices) + len(e.DeleteHosts) + len(e.DeleteRules)
-	return puts+deletes == 0
-}
+func (e Edits) Empty() bool { return e.Len() == 0 }
 
 // Apply returns the configuration with the edits made; c stays as it is.
 func (c Config) Apply(e Edits) Config {
--- a/node/config.go
+++ b/node/config.go
@@ -17,7 +17,7 @@
 	t := n.tables
 	logread.Register(n.pool, t, platform.Config, changes.Consumer{Tables: t})
 	activate.Register(n.pool, t)
-	submit.Register(n.pool, t)
+	submit.Register(n.pool, t, n.options.Metrics.Count)
 }
 
 // registerIO adds the duties of the I/O workers.
--- a/node/node.go
+++ b/node/node.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
@@ -160,6 +161,7 @@
 func (n *Node) servers() ([]server, error) {
 	api := &operator.API{
 		Tables: n.tables, Clock: n.options.Clock, Self: n.self, Logins: n.options.Settings.Logins,
+		Meter: n.options.Metrics, NewID: uuid.NewString,
 	}
 	operators, err := api.Handler()
 	if err != nil {
--- a/tables/config.go
+++ b/tables/config.go
@@ -16,8 +16,8 @@
 	// first one. Written by the controller activate; it only rises.
 	Routes *blackboard.Cell[*route.Table]
 	// Submissions has the records that came in through this node, by record
-	// ID. Added and deleted by the operators' front end, advanced by the
-	// controllers submit and changes.
+	// ID. Added by the operators' front end, advanced and deleted by the
+	// controllers of package submit.
 	Submissions *blackboard.Table[string, submit.Submission]
 }
 
