Read and write the stream of announcements only when it is due

The controllers were called again by their own deletions from the inboxes and started over: in 63 s of a quiet fleet of 18 nodes they appended 55,093 records. When the node turns to the stream next is now a row (Meeting).

--- a/controllers/membership/announce.go
+++ b/controllers/membership/announce.go
@@ -64,53 +64,69 @@
 	if _, asked := f.LogReads.Get(tx, platform.Members); asked {
 		return controller.Result{}
 	}
-	batch, came := f.LogBatches.Get(tx, platform.Members)
-	if came {
+	meeting := f.Meeting.Get(tx)
+	if batch, came := f.LogBatches.Get(tx, platform.Members); came {
 		f.LogBatches.Delete(tx, platform.Members)
-		if batch.Err != nil && !eris.Is(batch.Err, platform.ErrExpired) {
-			return controller.Result{After: retryDelay/2 + f.jitter(retryDelay)}
-		}
-		f.takeBatch(tx, now, batch)
+		meeting.LookAt = now.Add(f.takeBatch(tx, batch))
+		f.Meeting.Set(tx, meeting)
 	}
-	self := f.Tables.Self.Get(tx)
-	atEnd := came && len(batch.Records) == 0
-	if atEnd {
-		f.beAlone(tx, self)
+	if now.Before(meeting.LookAt) {
+		return controller.Result{After: meeting.LookAt.Sub(now)}
 	}
-	if atEnd && self.Joined {
-		return controller.Result{After: lookInterval/2 + f.jitter(lookInterval)}
+	joined := f.Tables.Self.Get(tx).Joined
+	if joined && !f.isRelay(tx) {
+		return controller.Result{After: f.around(lookInterval)}
 	}
-	if self.Joined && !f.isRelay(tx) {
-		return controller.Result{After: lookInterval/2 + f.jitter(lookInterval)}
-	}
-	last, _ := f.Positions.Get(tx, platform.Members)
+	last, read := f.Positions.Get(tx, platform.Members)
 	wait := readWait
-	if !came {
+	if !read || joined {
 		wait = 0
 	}
 	f.LogReads.Put(tx, platform.Members, tables.LogRead{From: last + 1, Wait: wait})
 	return controller.Result{}
 }
 
-// takeBatch notes the contacts that a batch names, and greets those that are
-// no members yet.
-func (f fleet) takeBatch(tx *blackboard.Tx, now time.Time, batch tables.LogBatch) {
-	if eris.Is(batch.Err, platform.ErrExpired) {
-		if oldest, told := platform.Oldest(batch.Err); told && oldest > batch.From {
-			f.Positions.Put(tx, platform.Members, oldest-1)
+// takeBatch notes what a read brought, and returns the pause until the next.
+func (f fleet) takeBatch(tx *blackboard.Tx, batch tables.LogBatch) time.Duration {
+	switch {
+	case eris.Is(batch.Err, platform.ErrExpired):
+		oldest, told := platform.Oldest(batch.Err)
+		if !told || oldest <= batch.From {
+			return f.around(retryDelay)
 		}
-		return
+		f.Positions.Put(tx, platform.Members, oldest-1)
+		return 0
+	case batch.Err != nil:
+		return f.around(retryDelay)
 	}
+	f.Positions.Put(tx, platform.Members, batch.From-1)
 	for _, r := range batch.Records {
-		f.Positions.Put(tx, platform.Members, r.Offset)
-		m, err := record.DecodeMember(r.Data)
-		if err != nil || m.ProbeAddress == "" {
-			continue
-		}
-		f.Contacts.Put(tx, m.ProbeAddress, r.Offset)
-		f.greet(tx, m)
+		f.takeRecord(tx, r)
 	}
 	f.dropOldContacts(tx)
+	self := f.Tables.Self.Get(tx)
+	if len(batch.Records) == 0 {
+		f.beAlone(tx, self)
+	}
+	if len(batch.Records) > 0 || !self.Joined {
+		return 0
+	}
+	return f.around(lookInterval)
+}
+
+// around draws a pause with the mean d.
+func (f fleet) around(d time.Duration) time.Duration { return d/2 + f.jitter(d) }
+
+// takeRecord notes the contact that a record names, and greets it if it is no
+// member yet.
+func (f fleet) takeRecord(tx *blackboard.Tx, r platform.Record) {
+	f.Positions.Put(tx, platform.Members, r.Offset)
+	m, err := record.DecodeMember(r.Data)
+	if err != nil || m.ProbeAddress == "" {
+		return
+	}
+	f.Contacts.Put(tx, m.ProbeAddress, r.Offset)
+	f.greet(tx, m)
 }
 
 // greet lets a member that has joined speak to one that nobody knows.
@@ -154,27 +170,28 @@
 // announce appends the node's record: a newcomer's that has found nobody, and
 // a relay's now and then. Doing so again is harmless.
 func (f fleet) announce(tx *blackboard.Tx, now time.Time) controller.Result {
-	retry := controller.Result{After: retryDelay/2 + f.jitter(retryDelay)}
-	later := controller.Result{After: landmarkInterval/2 + f.jitter(landmarkInterval)}
+	meeting := f.Meeting.Get(tx)
 	if done, came := f.AppendsDone.Get(tx, announceID); came {
 		f.AppendsDone.Delete(tx, announceID)
+		pause := f.around(landmarkInterval)
 		if done.Err != nil {
-			return retry
+			pause = f.around(retryDelay)
 		}
-		return later
+		meeting.AnnounceAt = now.Add(pause)
+		f.Meeting.Set(tx, meeting)
 	}
-	if _, underWay := f.Appends.Get(tx, announceID); underWay {
-		return retry
+	if now.Before(meeting.AnnounceAt) {
+		return controller.Result{After: meeting.AnnounceAt.Sub(now)}
 	}
-	if !f.shouldAnnounce(tx, now) {
-		return controller.Result{After: joinPatience + f.jitter(announceSpread)}
+	if _, underWay := f.Appends.Get(tx, announceID); underWay {
+		return controller.Result{}
 	}
 	data, err := record.EncodeMember(f.Tables.Self.Get(tx).Member)
-	if err != nil {
-		return later // a member made of strings and numbers always encodes
+	if err != nil || !f.shouldAnnounce(tx, now) {
+		return controller.Result{After: f.around(joinPatience)}
 	}
 	f.Appends.Put(tx, announceID, tables.Append{Stream: platform.Members, Data: string(data)})
-	return retry
+	return controller.Result{}
 }
 
 // shouldAnnounce tells whether the node has to be named in the stream: it is a
--- a/controllers/membership/membership.go
+++ b/controllers/membership/membership.go
@@ -90,7 +90,7 @@
 func (f fleet) do(fn func(*blackboard.Tx), more ...blackboard.Access) {
 	access := append(more,
 		f.Members.Write(), f.Peers.Write(), f.Zones.Write(), f.Tables.Self.Write(),
-		f.Prober.Write(), f.Probes.Write(), f.News.Write(), f.ZoneNews.Write(), f.Contacts.Write(),
+		f.Prober.Write(), f.Probes.Write(), f.News.Write(), f.ZoneNews.Write(), f.Contacts.Write(), f.Meeting.Write(),
 		f.MessageCount.Write(), f.MessagesOut.Write())
 	f.Board.Do(fn, access...)
 }
--- a/controllers/membership/membership_test.go
+++ b/controllers/membership/membership_test.go
@@ -4,7 +4,10 @@
 	"testing"
 	"time"
 
+	"github.com/shoenig/test/must"
+
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
+	controllers "github.com/marigoldshelf/marigoldshelf/controllers/membership"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 )
 
@@ -27,3 +30,12 @@
 	took := n.until("dead everywhere", 5*time.Second, func() bool { return n.everyone(dead.self.Host, mesh.Dead) })
 	t.Logf("dead everywhere after %v", took)
 }
+
+func TestQuietFleetSuspectsNobody(t *testing.T) {
+	n := threeZones(t, 2)
+	n.run(60 * time.Second)
+	must.Eq(t, 0, n.count(controllers.EventSuspected))
+	must.Eq(t, 0, n.count(controllers.EventDeclaredGone))
+	must.LessEq(t, 12, len(n.appends), must.Sprint("the stream is a meeting place, not a heartbeat"))
+	must.LessEq(t, 9*10, n.reads, must.Sprint("nine relays look twice a minute"))
+}
--- a/controllers/membership/network_test.go
+++ b/controllers/membership/network_test.go
@@ -42,6 +42,7 @@
 	records []platform.Record
 	logDown bool
 	appends []time.Time
+	reads   int
 	bytes   int
 	packets int
 }
@@ -65,6 +66,8 @@
 	events  map[controllers.Event]int
 	bytes   int
 	asked   time.Time // when the platform got the read that waits
+	asking  bool      // the platform has something to answer
+	sending bool      // the outbox holds something
 }
 
 func newNetwork(t testing.TB, seed uint64, options ...blackboard.Option) *network {
@@ -95,6 +98,10 @@
 	h.tables = tables.New(blackboard.New(n.options...))
 	h.pool = controller.New(n.clock, 1)
 	h.started, h.down, h.paused = n.clock.Now(), false, false
+	h.asked, h.sending = time.Time{}, false
+	h.tables.MessagesOut.Watch(func(uint64) { h.sending = true })
+	h.tables.LogReads.Watch(func(platform.Stream) { h.asking = true })
+	h.tables.Appends.Watch(func(string) { h.asking = true })
 	h.events = make(map[controllers.Event]int)
 	controllers.Register(h.pool, h.tables, controllers.Config{
 		Self: h.self, Times: membership.DefaultConfig(), Seeds: h.seeds,
@@ -131,9 +138,11 @@
 		if h.down || h.paused {
 			continue
 		}
-		for range 2 {
+		h.pool.Settle(settleLimit)
+		if h.asking {
 			n.platform(h)
-			h.pool.Settle(settleLimit)
+		}
+		if h.sending {
 			n.collect(h)
 		}
 	}
@@ -156,6 +165,7 @@
 			return true
 		})
 	}, b.MessagesOut.Write())
+	h.sending = false
 }
 
 // deliver puts the datagrams that are due into inboxes; those for a paused
@@ -190,9 +200,11 @@
 // platform answers what a node asks of the log.
 func (n *network) platform(h *host) {
 	b := h.tables
+	h.asking = false
+	waits := false
 	b.Board.Do(func(tx *blackboard.Tx) {
 		if read, found := b.LogReads.Get(tx, platform.Members); found {
-			n.read(tx, h, read)
+			waits = !n.read(tx, h, read)
 		}
 		b.Appends.Each(tx, func(id string, a tables.Append) bool {
 			b.Appends.Delete(tx, id)
@@ -207,9 +219,11 @@
 			return true
 		})
 	}, b.LogReads.Write(), b.LogBatches.Write(), b.Appends.Write(), b.AppendsDone.Write())
+	h.asking = waits
 }
 
-func (n *network) read(tx *blackboard.Tx, h *host, read tables.LogRead) {
+// read answers a read, or returns false while it has to wait.
+func (n *network) read(tx *blackboard.Tx, h *host, read tables.LogRead) bool {
 	batch := tables.LogBatch{From: read.From}
 	if h.asked.IsZero() {
 		h.asked = n.clock.Now()
@@ -220,11 +234,13 @@
 	case read.From <= uint64(len(n.records)):
 		batch.Records = n.records[read.From-1:]
 	case n.clock.Now().Sub(h.asked) < read.Wait:
-		return
+		return false
 	}
+	n.reads++
 	h.asked = time.Time{}
 	h.tables.LogReads.Delete(tx, platform.Members)
 	h.tables.LogBatches.Put(tx, platform.Members, batch)
+	return true
 }
 
 // state returns what a node's Members says of a host; zero when it is unknown.
--- a/decide/membership/self.go
+++ b/decide/membership/self.go
@@ -104,3 +104,11 @@
 	s.Member.Incarnation++
 	return s
 }
+
+// Meeting is when a node turns to the stream of announcements next.
+type Meeting struct {
+	// LookAt is when it reads on.
+	LookAt time.Time
+	// AnnounceAt is when it considers to announce itself.
+	AnnounceAt time.Time
+}
--- a/front/probe/probe.go
+++ b/front/probe/probe.go
@@ -48,7 +48,7 @@
 // Front is the datagram side of a node.
 type Front struct {
 	Tables *tables.Tables
-	Socket *net.UDPConn
+	Socket net.PacketConn
 	Codec  probe.Codec
 	// Count takes the events with their sizes in bytes.
 	Count func(e Event, bytes int)
@@ -83,7 +83,7 @@
 		f.Count(EventNotSent, 0)
 		return
 	}
-	if _, err := f.Socket.WriteToUDPAddrPort(data, address); err != nil {
+	if _, err := f.Socket.WriteTo(data, net.UDPAddrFromAddrPort(address)); err != nil {
 		f.Count(EventNotSent, 0)
 		return
 	}
@@ -95,13 +95,15 @@
 func (f Front) Receive(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { f.Socket.Close() })
 	defer stop()
-	if err := f.Socket.SetReadBuffer(receiveBuffer); err != nil {
-		return eris.Wrap(err, "probe: receive buffer")
+	if socket, real := f.Socket.(*net.UDPConn); real {
+		if err := socket.SetReadBuffer(receiveBuffer); err != nil {
+			return eris.Wrap(err, "probe: receive buffer")
+		}
 	}
 	buffer := make([]byte, membership.MaxDatagram+1)
 	number := uint64(0)
 	for {
-		length, from, err := f.Socket.ReadFromUDPAddrPort(buffer)
+		length, from, err := f.Socket.ReadFrom(buffer)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -109,23 +111,22 @@
 			return eris.Wrap(err, "probe: receive")
 		}
 		number++
-		f.take(number, buffer[:length], from)
+		f.take(number, buffer[:length], from.String())
 	}
 }
 
-func (f Front) take(number uint64, data []byte, from netip.AddrPort) {
+func (f Front) take(number uint64, data []byte, from string) {
 	message, err := f.Codec.Decode(data)
 	if err != nil {
 		f.countFault(err, len(data))
 		return
 	}
 	f.Count(EventReceived, len(data))
-	address := netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String()
 	full := false
 	t := f.Tables
 	t.Board.Do(func(tx *blackboard.Tx) {
 		if full = t.MessagesIn.Len(tx) >= maxInbox; !full {
-			t.MessagesIn.Put(tx, number, membership.Envelope{Address: address, Message: message})
+			t.MessagesIn.Put(tx, number, membership.Envelope{Address: from, Message: message})
 		}
 	}, t.MessagesIn.Write())
 	if full {
--- a/node/node.go
+++ b/node/node.go
@@ -7,7 +7,6 @@
 	"context"
 	"net"
 	"net/http"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -66,7 +65,7 @@
 // listeners are the node's open ports.
 type listeners struct {
 	callers, peers, operators net.Listener
-	probes                    *net.UDPConn
+	probes                    net.PacketConn
 }
 
 // New opens the node's ports and puts its parts together.
@@ -125,7 +124,7 @@
 	if n.listeners.operators, err = n.options.Network.Listen(l.Operators); err != nil {
 		return eris.Wrap(err, "listen for operators")
 	}
-	n.listeners.probes, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(l.Probes)))
+	n.listeners.probes, err = n.options.Network.ListenPacket(l.Probes)
 	return eris.Wrap(err, "listen for probes")
 }
 
--- a/tables/fleet.go
+++ b/tables/fleet.go
@@ -33,6 +33,8 @@
 	// with the offset of the record, zero for a seed. They are used until the
 	// node has joined.
 	Contacts *blackboard.Table[string, uint64]
+	// Meeting is when the node turns to the stream of announcements next.
+	Meeting *blackboard.Cell[membership.Meeting]
 	// Endpoints has, for each service, the members that the configuration in
 	// force lets take its requests. Written by the controller endpoints.
 	Endpoints *blackboard.Table[mesh.ServiceName, []mesh.Member]
@@ -55,6 +57,7 @@
 		News:      blackboard.NewTable[mesh.HostID, int](b, "news", rankNews),
 		ZoneNews:  blackboard.NewTable[mesh.Zone, int](b, "zone_news", rankZoneNews),
 		Contacts:  blackboard.NewTable[string, uint64](b, "contacts", rankContacts),
+		Meeting:   blackboard.NewCell[membership.Meeting](b, "meeting", rankMeeting),
 		Endpoints: blackboard.NewTable[mesh.ServiceName, []mesh.Member](b, "endpoints", rankEndpoints),
 		Loads:     blackboard.NewTable[mesh.HostID, mesh.Load](b, "loads", rankLoads),
 		InFlight:  blackboard.NewTable[mesh.HostID, int](b, "in_flight", rankInFlight),
--- a/tables/order.go
+++ b/tables/order.go
@@ -27,6 +27,7 @@
 	rankNews      blackboard.Rank = 250
 	rankZoneNews  blackboard.Rank = 260
 	rankContacts  blackboard.Rank = 270
+	rankMeeting   blackboard.Rank = 280
 	rankEndpoints blackboard.Rank = 300
 	rankLoads     blackboard.Rank = 310
 	rankInFlight  blackboard.Rank = 320
