Decide what becomes of requests under an idempotency key

A member carries its first incarnation, so that another life of a host is told from a raised incarnation.

--- a/mesh/member.go
+++ b/mesh/member.go
@@ -13,6 +13,9 @@
 	Leaving
 	// Dead: declared gone.
 	Dead
+	// Unreachable: its zone does not answer this node's zone. Nothing is known
+	// of the member itself, so it gets no work until the zone answers again.
+	Unreachable
 )
 
 // String returns the state's name.
@@ -26,6 +29,8 @@
 		return "leaving"
 	case Dead:
 		return "dead"
+	case Unreachable:
+		return "unreachable"
 	default:
 		return "unknown"
 	}
@@ -43,7 +48,10 @@
 	Region      Region      `json:"region,omitempty"`
 	Service     ServiceName `json:"service"`
 	Incarnation Incarnation `json:"incarnation"`
-	State       MemberState `json:"state"`
+	// Life is the first incarnation of the process. A replaced host has the
+	// same name and another life.
+	Life  Incarnation `json:"life,omitempty"`
+	State MemberState `json:"state"`
 	// PeerAddress is the IP and TCP port that the node's peers call.
 	PeerAddress string `json:"peer_address"`
 	// ProbeAddress is the IP and UDP port of the failure detector.
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -75,6 +75,12 @@
 	ResponseTruncated Reason = "response_truncated" // the answer was cut short
 )
 
+// More reasons that a request with an idempotency key is refused.
+const (
+	KeyAnswerNotKept Reason = "key_answer_not_kept" // it ran before; its answer is not kept
+	KeysFull         Reason = "keys_full"           // no room to remember another key
+)
+
 // Error is a failure of a request: what is known of its execution, and why.
 type Error struct {
 	Verdict Verdict
