--- a/tables/order.go
+++ b/tables/order.go
@@ -30,6 +30,12 @@
 	rankAdmissions blackboard.Rank = 520
 
 	// Idempotency keys: 600 to 699.
+	rankClaims        blackboard.Rank = 600
+	rankKeyMap        blackboard.Rank = 610
+	rankKeyPlan       blackboard.Rank = 620
+	rankKeyShards     blackboard.Rank = 630
+	rankKeyEntries    blackboard.Rank = 640
+	rankKeyOperations blackboard.Rank = 650
 
 	// Outboxes and inboxes: 900 to 979.
 	rankPositions   blackboard.Rank = 900
@@ -37,6 +43,8 @@
 	rankLogBatches  blackboard.Rank = 920
 	rankAppends     blackboard.Rank = 930
 	rankAppendsDone blackboard.Rank = 940
+	rankKeySends    blackboard.Rank = 960
+	rankKeyReplies  blackboard.Rank = 970
 
 	// What the node says of itself: 980 to 999.
 	rankTold  blackboard.Rank = 980
@@ -49,6 +57,7 @@
 	Config
 	Fleet
 	Traffic
+	Keys
 	Platform
 	Journal
 }
@@ -60,6 +69,7 @@
 		Config:   newConfig(b),
 		Fleet:    newFleet(b),
 		Traffic:  newTraffic(b),
+		Keys:     newKeys(b),
 		Platform: newPlatform(b),
 		Journal:  newJournal(b),
 	}
