Bookings under an idempotency key run at most once

Cause: two requests under one Idempotency-Key, at two nodes at once, both ran (TestKeyRunsOnce with the claim left out: 2 runs). Change: the callers' front end claims the key before a booking passes, and the grant is checked again right before each sending. After: 1 run, also after a holder was killed; the repeat gets the first run's answer, another request under the key 422.

--- a/front/caller/handler.go
+++ b/front/caller/handler.go
@@ -17,6 +17,7 @@
 	"github.com/marigoldshelf/marigoldshelf/clock"
 	"github.com/marigoldshelf/marigoldshelf/decide/call"
 	"github.com/marigoldshelf/marigoldshelf/encoding/hop"
+	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 	"github.com/marigoldshelf/marigoldshelf/verdict"
 )
@@ -28,6 +29,9 @@
 	// Peers carries requests to other nodes. It must not follow proxies, and
 	// must wait for 100 Continue without a limit of its own.
 	Peers http.RoundTripper
+	// CheckSend says why a request must not be sent to a backend server now;
+	// nil when it may.
+	CheckSend func(*http.Request, mesh.Class) *verdict.Error
 	// Count is told the reason of each failed attempt and of each refusal.
 	Count func(event Event, reason verdict.Reason)
 }
@@ -179,6 +183,9 @@
 // forward sends the request to the target of the present step. It returns the
 // backend server's answer, or why there is none.
 func (h *Handler) forward(r *http.Request, x *exchange) (*http.Response, *verdict.Error) {
+	if failure := h.CheckSend(r, x.call.Rule.Class); failure != nil {
+		return nil, failure
+	}
 	request, err := h.peerRequest(r, x)
 	if err != nil {
 		return nil, verdict.New(verdict.NotRun, verdict.BadRequest, err)
--- a/node/control.go
+++ b/node/control.go
@@ -3,4 +3,6 @@
 import "net/http"
 
 // registerControl adds the nodes' control services to the peers' listener.
-func (n *Node) registerControl(_ *http.ServeMux) {}
+func (n *Node) registerControl(mux *http.ServeMux) {
+	n.registerKeyControl(mux)
+}
--- /dev/null
+++ b/node/keys.go
@@ -0,0 +1,75 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/marigoldshelf/marigoldshelf/controllers/keyclaim"
+	"github.com/marigoldshelf/marigoldshelf/controllers/keyhome"
+	"github.com/marigoldshelf/marigoldshelf/controllers/keymap"
+	"github.com/marigoldshelf/marigoldshelf/controllers/keyplan"
+	"github.com/marigoldshelf/marigoldshelf/controllers/keysync"
+	"github.com/marigoldshelf/marigoldshelf/controllers/logread"
+	"github.com/marigoldshelf/marigoldshelf/decide/idempotency"
+	"github.com/marigoldshelf/marigoldshelf/encoding/hop"
+	"github.com/marigoldshelf/marigoldshelf/encoding/keys"
+	"github.com/marigoldshelf/marigoldshelf/front/keyed"
+	"github.com/marigoldshelf/marigoldshelf/front/keypeer"
+	"github.com/marigoldshelf/marigoldshelf/outbox"
+	"github.com/marigoldshelf/marigoldshelf/platform"
+	"github.com/marigoldshelf/marigoldshelf/tables"
+	"github.com/marigoldshelf/marigoldshelf/verdict"
+)
+
+const (
+	// keyTimeout bounds one message about keys.
+	keyTimeout = 500 * time.Millisecond
+	// keyWorkers is the number of I/O workers that send such messages. They are
+	// a pool of their own, so that nodes that do not answer hold up nothing else.
+	keyWorkers = 32
+)
+
+// registerKeys adds the controllers of idempotency keys.
+func (n *Node) registerKeys() {
+	t := n.tables
+	config := idempotency.DefaultConfig()
+	self := idempotency.HolderOf(n.self)
+	logread.Register(n.pool, t, platform.Keys, keymap.Consumer{
+		Tables: t, Clock: n.options.Clock, Config: config, Self: self,
+	})
+	keyplan.Register(n.pool, t, keyplan.Config{
+		Keys: config, Self: self, StartedAt: n.options.Clock.Now(),
+		Count: func(k idempotency.Kind) { n.options.Metrics.Count("key_holders", verdict.Reason(k)) },
+	})
+	keysync.Register(n.pool, t, config)
+	keyhome.Register(n.pool, t, config)
+	keyclaim.Register(n.pool, t, config)
+}
+
+// registerKeyIO adds the duty of the I/O workers for keys.
+func (n *Node) registerKeyIO(ctx context.Context) {
+	t := n.tables
+	client := &http.Client{Transport: hop.NewTransport(0), Timeout: keyTimeout}
+	outbox.Serve(ctx, n.keyPool, t.Board, "send keys", t.KeySends, t.KeyReplies,
+		func(ctx context.Context, _ string, m tables.KeySend) tables.KeyReply {
+			return keypeer.Send(ctx, client, m)
+		})
+}
+
+// registerKeyControl adds the keys' control service to the peers' listener.
+func (n *Node) registerKeyControl(mux *http.ServeMux) {
+	server := keys.NewKeysServer(keypeer.Service{Tables: n.tables})
+	mux.Handle(server.PathPrefix(), server)
+}
+
+// keyedHandler puts the claim of idempotency keys before next.
+func (n *Node) keyedHandler(next http.Handler) http.Handler {
+	return &keyed.Handler{
+		Tables: n.tables,
+		Clock:  n.options.Clock,
+		Config: idempotency.DefaultConfig(),
+		Next:   next,
+		Count:  n.options.Metrics.Count,
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -52,6 +52,7 @@
 	tables    *tables.Tables
 	pool      *controller.Pool
 	ioPool    *controller.Pool
+	keyPool   *controller.Pool
 	self      mesh.Member
 	listeners listeners
 }
@@ -68,6 +69,7 @@
 		tables:  tables.New(o.Board),
 		pool:    controller.New(o.Clock, o.Settings.Workers),
 		ioPool:  controller.New(o.Clock, o.Settings.IOWorkers),
+		keyPool: controller.New(o.Clock, keyWorkers),
 	}
 	if err := n.listen(); err != nil {
 		return nil, err
@@ -115,6 +117,7 @@
 func (n *Node) registerControllers() error {
 	n.registerConfig()
 	n.registerTraffic()
+	n.registerKeys()
 	n.registerObserve()
 	return n.registerFleet()
 }
@@ -124,6 +127,7 @@
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	n.registerIO(work)
+	n.registerKeyIO(work)
 	servers, err := n.servers()
 	if err != nil {
 		return err
@@ -133,6 +137,7 @@
 	defer stopWork()
 	group.Go(func() { n.pool.Run(work) })
 	group.Go(func() { n.ioPool.Run(work) })
+	group.Go(func() { n.keyPool.Run(work) })
 	for _, s := range servers {
 		group.Go(func() { s.run() })
 	}
@@ -169,7 +174,7 @@
 		return nil, eris.Wrap(err, "operators' API")
 	}
 	return []server{
-		newServer(n.listeners.callers, n.callerHandler()),
+		newServer(n.listeners.callers, n.keyedHandler(n.callerHandler())),
 		newServer(n.listeners.peers, n.peerMux()),
 		newServer(n.listeners.operators, n.operatorMux(operators)),
 	}, nil
--- a/node/traffic.go
+++ b/node/traffic.go
@@ -10,6 +10,7 @@
 	"github.com/marigoldshelf/marigoldshelf/decide/admit"
 	"github.com/marigoldshelf/marigoldshelf/encoding/hop"
 	"github.com/marigoldshelf/marigoldshelf/front/caller"
+	"github.com/marigoldshelf/marigoldshelf/front/keyed"
 	"github.com/marigoldshelf/marigoldshelf/front/peer"
 	"github.com/marigoldshelf/marigoldshelf/verdict"
 )
@@ -33,9 +34,10 @@
 
 func (n *Node) callerHandler() http.Handler {
 	return &caller.Handler{
-		Tables: n.tables,
-		Clock:  n.options.Clock,
-		Peers:  hop.NewTransport(0),
+		Tables:    n.tables,
+		Clock:     n.options.Clock,
+		Peers:     hop.NewTransport(0),
+		CheckSend: keyed.CheckSend,
 		Count: func(event caller.Event, reason verdict.Reason) {
 			n.options.Metrics.Count(string(event), reason)
 		},
