--- /dev/null
+++ b/encoding/distrib/convert.go
@@ -0,0 +1,86 @@
+// Package distrib encodes what nodes tell each other about the configuration
+// stream, as the messages of a twirp service.
+package distrib
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/marigoldshelf/marigoldshelf/decide/snapshot"
+	"github.com/marigoldshelf/marigoldshelf/decide/spread"
+	"github.com/marigoldshelf/marigoldshelf/mesh"
+)
+
+// FromRequest returns the message of a request.
+func FromRequest(r spread.Request, wait time.Duration) *PullRequest {
+	return &PullRequest{
+		Host: string(r.Host), Served: uint64(r.Served), Offset: r.Offset, Digest: fromDigest(r.Digest),
+		Snapshot: r.Snapshot, Part: r.Part, Chunk: uint32(r.Chunk),
+		MaxAgeNs: uint64(r.MaxAge), WaitMs: uint64(wait.Milliseconds()),
+	}
+}
+
+// ToRequest reads a request and how long its answer may be held.
+func ToRequest(m *PullRequest) (spread.Request, time.Duration, error) {
+	digest, err := toDigest(m.Digest)
+	r := spread.Request{
+		Host: mesh.HostID(m.Host), Served: mesh.Version(m.Served), Offset: m.Offset, Digest: digest,
+		Snapshot: m.Snapshot, Part: m.Part, Chunk: int(m.Chunk), MaxAge: time.Duration(m.MaxAgeNs),
+	}
+	if err == nil && (m.Host == "" || r.MaxAge < 0) {
+		err = eris.New("distrib: request without host or with a bad age")
+	}
+	return r, time.Duration(m.WaitMs) * time.Millisecond, err
+}
+
+// FromAnswer returns the message of an answer.
+func FromAnswer(a spread.Answer) *PullAnswer {
+	m := &PullAnswer{
+		Kind: uint32(a.Kind), Offset: a.Offset, Digest: fromDigest(a.Digest),
+		AgeNs: uint64(a.Age), AgeKnown: a.AgeKnown, RetryAfterMs: uint64(a.RetryAfter.Milliseconds()),
+	}
+	for _, r := range a.Records {
+		m.Records = append(m.Records, &Record{Offset: r.Offset, Data: r.Data})
+	}
+	if a.Kind == spread.Chunk {
+		c := a.Chunk
+		m.Chunk = &SnapshotChunk{ID: c.ID, Offset: c.Offset, Index: uint32(c.Index), Count: uint32(c.Count), Data: c.Data}
+	}
+	return m
+}
+
+// ToAnswer reads an answer.
+func ToAnswer(m *PullAnswer) (spread.Answer, error) {
+	digest, err := toDigest(m.Digest)
+	a := spread.Answer{
+		Kind: spread.Kind(min(m.Kind, uint32(spread.Hold))), Offset: m.Offset, Digest: digest,
+		Age: time.Duration(m.AgeNs), AgeKnown: m.AgeKnown,
+		RetryAfter: time.Duration(m.RetryAfterMs) * time.Millisecond,
+	}
+	for _, r := range m.Records {
+		a.Records = append(a.Records, spread.Record{Offset: r.Offset, Data: r.Data})
+	}
+	if c := m.Chunk; c != nil {
+		a.Chunk = snapshot.Chunk{ID: c.ID, Offset: c.Offset, Index: int(c.Index), Count: int(c.Count), Data: c.Data}
+	}
+	if err == nil && (a.Age < 0 || a.RetryAfter < 0) {
+		err = eris.New("distrib: answer with a bad duration")
+	}
+	return a, err
+}
+
+func fromDigest(d spread.Digest) []byte {
+	if d == (spread.Digest{}) {
+		return nil
+	}
+	return d[:]
+}
+
+func toDigest(data []byte) (d spread.Digest, err error) {
+	if len(data) != 0 && len(data) != len(d) {
+		return d, eris.Errorf("distrib: digest of %d bytes", len(data))
+	}
+	copy(d[:], data)
+	return d, nil
+}
