--- a/controllers/activate/activate.go
+++ b/controllers/activate/activate.go
@@ -1,6 +1,7 @@
 // Package activate is the controller that compiles each released configuration
 // and puts it in force. A configuration is compiled whole or rejected whole,
-// and the version in force only rises.
+// and the version in force only rises; the first one is not put in force below
+// the floor that a started node has to learn.
 package activate
 
 import (
@@ -10,6 +11,7 @@
 	"github.com/marigoldshelf/marigoldshelf/controller"
 	"github.com/marigoldshelf/marigoldshelf/decide/change"
 	"github.com/marigoldshelf/marigoldshelf/decide/route"
+	"github.com/marigoldshelf/marigoldshelf/decide/spread"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 )
 
@@ -23,6 +25,7 @@
 		return controller.Result{}
 	})
 	t.Changes.Watch(func() { handle.Add(theKey) })
+	t.Floor.Watch(func() { handle.Add(theKey) })
 }
 
 // activate compiles outside the transaction that swaps the table in: only this
@@ -30,10 +33,15 @@
 func activate(t *tables.Tables) {
 	var state change.State
 	var current *route.Table
+	var floor spread.Floor
 	t.Board.Do(func(tx *blackboard.Tx) {
 		state = t.Changes.Get(tx)
 		current = t.Routes.Get(tx)
-	}, t.Changes.Read(), t.Routes.Read())
+		floor = t.Floor.Get(tx)
+	}, t.Changes.Read(), t.Routes.Read(), t.Floor.Read())
+	if !floor.Allows(state.Version) {
+		return
+	}
 	if state.Version == 0 || current != nil && state.Version <= current.Version {
 		return
 	}
--- a/controllers/logread/logread.go
+++ b/controllers/logread/logread.go
@@ -6,8 +6,6 @@
 import (
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/controller"
 	"github.com/marigoldshelf/marigoldshelf/platform"
@@ -34,8 +32,20 @@
 	Skip(tx *blackboard.Tx, offset uint64)
 }
 
-// Register adds the controller for one stream.
-func Register(p *controller.Pool, t *tables.Tables, s platform.Stream, c Consumer) {
+// Follower is a Consumer that reads only at times, and wants to know how each
+// read went.
+type Follower interface {
+	Consumer
+	// Wanted reports whether to read on.
+	Wanted(tx *blackboard.Tx) bool
+	// Observe is told of each read, failed ones too, after its records were
+	// folded.
+	Observe(tx *blackboard.Tx, now time.Time, batch tables.LogBatch)
+}
+
+// Register adds the controller for one stream. The handle makes it look again
+// whether reading is wanted.
+func Register(p *controller.Pool, t *tables.Tables, s platform.Stream, c Consumer) controller.Handle[platform.Stream] {
 	r := reader{tables: t, consumer: c}
 	handle := controller.Register(p, "logread", r.reconcile)
 	t.LogBatches.Watch(func(changed platform.Stream) {
@@ -44,6 +54,7 @@
 		}
 	})
 	handle.Add(s)
+	return handle
 }
 
 type reader struct {
@@ -71,20 +82,31 @@
 	switch {
 	case came && batch.Err != nil && batch.RetryAt.IsZero():
 		batch.RetryAt = now.Add(retryDelay)
+		r.observe(tx, now, batch)
 		t.LogBatches.Put(tx, s, batch)
 		return controller.Result{After: retryDelay}
 	case came && batch.Err != nil && now.Before(batch.RetryAt):
 		return controller.Result{After: batch.RetryAt.Sub(now)}
-	case came && eris.Is(batch.Err, platform.ErrExpired):
+	case came && batch.Err != nil:
 		r.skip(tx, batch)
 	case came:
 		r.consumer.Fold(tx, now, batch.Records)
+		r.observe(tx, now, batch)
 	}
 	t.LogBatches.Delete(tx, s)
-	t.LogReads.Put(tx, s, tables.LogRead{From: r.consumer.Next(tx), Wait: readWait})
+	if follower, ok := r.consumer.(Follower); ok && !follower.Wanted(tx) {
+		return controller.Result{}
+	}
+	t.LogReads.Put(tx, s, tables.LogRead{From: r.consumer.Next(tx), Wait: readWait, At: now})
 	return controller.Result{}
 }
 
+func (r reader) observe(tx *blackboard.Tx, now time.Time, batch tables.LogBatch) {
+	if follower, ok := r.consumer.(Follower); ok {
+		follower.Observe(tx, now, batch)
+	}
+}
+
 // skip tells the consumer which records are lost.
 func (r reader) skip(tx *blackboard.Tx, batch tables.LogBatch) {
 	if oldest, told := platform.Oldest(batch.Err); told && oldest > batch.From {
--- a/tables/order.go
+++ b/tables/order.go
@@ -17,6 +17,19 @@
 	rankRoutes      blackboard.Rank = 110
 	rankSubmissions blackboard.Rank = 120
 
+	// Distribution: 150 to 199.
+	rankRole           blackboard.Rank = 150
+	rankFeed           blackboard.Rank = 152
+	rankFloor          blackboard.Rank = 154
+	rankServedVersions blackboard.Rank = 156
+	rankHint           blackboard.Rank = 158
+	rankLane           blackboard.Rank = 160
+	rankPulls          blackboard.Rank = 162
+	rankBudget         blackboard.Rank = 164
+	rankEncoded        blackboard.Rank = 166
+	rankShelf          blackboard.Rank = 168
+	rankSnapshotDuty   blackboard.Rank = 170
+
 	// Fleet: 200 to 299 membership, 300 to 399 where requests can go.
 	rankMembers   blackboard.Rank = 200
 	rankEndpoints blackboard.Rank = 300
@@ -37,12 +50,21 @@
 	rankLogBatches  blackboard.Rank = 920
 	rankAppends     blackboard.Rank = 930
 	rankAppendsDone blackboard.Rank = 940
+
+	// The same, of distribution: 950 to 969.
+	rankAsks          blackboard.Rank = 950
+	rankAskResults    blackboard.Rank = 951
+	rankRecallAsks    blackboard.Rank = 952
+	rankRecalls       blackboard.Rank = 953
+	rankBoundsAsks    blackboard.Rank = 954
+	rankBoundsResults blackboard.Rank = 955
 )
 
 // Tables is the blackboard of one node.
 type Tables struct {
 	Board *blackboard.Board
 	Config
+	Spread
 	Fleet
 	Traffic
 	Platform
@@ -53,6 +75,7 @@
 	return &Tables{
 		Board:    b,
 		Config:   newConfig(b),
+		Spread:   newSpread(b),
 		Fleet:    newFleet(b),
 		Traffic:  newTraffic(b),
 		Platform: newPlatform(b),
--- a/tables/platform.go
+++ b/tables/platform.go
@@ -13,11 +13,15 @@
 	From uint64
 	// Wait is how long the platform may hold the answer for new records.
 	Wait time.Duration
+	// At is when it was decided on.
+	At time.Time
 }
 
 // LogBatch is what came of a LogRead.
 type LogBatch struct {
+	// From and At are those of the LogRead.
 	From    uint64
+	At      time.Time
 	Records []platform.Record
 	// Err is nil when the read succeeded.
 	Err error
