--- a/controllers/logread/logread.go
+++ b/controllers/logread/logread.go
@@ -15,8 +15,10 @@
 const (
 	// readWait is how long the platform holds a read for new records.
 	readWait = 10 * time.Second
-	// retryDelay is the pause after a failed read.
-	retryDelay = 500 * time.Millisecond
+	// retryBase and retryLimit bound the pause after a failed read; it doubles
+	// with each failure in a row.
+	retryBase  = 250 * time.Millisecond
+	retryLimit = 4 * time.Second
 )
 
 // Consumer folds records into tables.
@@ -81,10 +83,11 @@
 	batch, came := t.LogBatches.Get(tx, s)
 	switch {
 	case came && batch.Err != nil && batch.RetryAt.IsZero():
-		batch.RetryAt = now.Add(retryDelay)
+		pause := retryPause(now, batch)
+		batch.RetryAt = now.Add(pause)
 		r.observe(tx, now, batch)
 		t.LogBatches.Put(tx, s, batch)
-		return controller.Result{After: retryDelay}
+		return controller.Result{After: pause}
 	case came && batch.Err != nil && now.Before(batch.RetryAt):
 		return controller.Result{After: batch.RetryAt.Sub(now)}
 	case came && batch.Err != nil:
@@ -97,10 +100,25 @@
 	if follower, ok := r.consumer.(Follower); ok && !follower.Wanted(tx) {
 		return controller.Result{}
 	}
-	t.LogReads.Put(tx, s, tables.LogRead{From: r.consumer.Next(tx), Wait: readWait, At: now})
+	next := tables.LogRead{From: r.consumer.Next(tx), Wait: readWait, At: now}
+	if batch.Err != nil {
+		next.Failures = batch.Failures + 1
+	}
+	t.LogReads.Put(tx, s, next)
 	return controller.Result{}
 }
 
+// retryPause is the pause after a failed read. The instant's fraction spreads
+// the readers that failed together; one that learned the oldest offset needs
+// no pause worth the name.
+func retryPause(now time.Time, batch tables.LogBatch) time.Duration {
+	if _, told := platform.Oldest(batch.Err); told {
+		return time.Millisecond
+	}
+	pause := min(retryBase<<min(batch.Failures, 8), retryLimit)
+	return pause/2 + time.Duration(now.UnixNano())%pause
+}
+
 func (r reader) observe(tx *blackboard.Tx, now time.Time, batch tables.LogBatch) {
 	if follower, ok := r.consumer.(Follower); ok {
 		follower.Observe(tx, now, batch)
--- a/front/distrib/server.go
+++ b/front/distrib/server.go
@@ -77,3 +77,16 @@
 	}, t.Changes.Read(), t.Floor.Read(), t.ServedVersions.Read())
 	return answer, nil
 }
+
+// Release has the answers that are held given now, so that a node can stop.
+func (s *Server) Release() {
+	t := s.Tables
+	now := s.Clock.Now()
+	t.Board.Do(func(tx *blackboard.Tx) {
+		t.Pulls.Each(tx, func(id string, p spread.Pull) bool {
+			p.Deadline = now
+			t.Pulls.Put(tx, id, p)
+			return true
+		})
+	}, t.Pulls.Write())
+}
--- a/node/node.go
+++ b/node/node.go
@@ -146,6 +146,7 @@
 	}
 	<-ctx.Done()
 	defer n.closeIdle()
+	n.distribution().Release()
 	return shutdown(servers)
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -33,7 +33,7 @@
 	// Workers is the number of workers of the controllers' pool, 1 to 256.
 	// Default 4.
 	Workers int `json:"workers"`
-	// IOWorkers is the number of workers that send what outboxes hold, 4 to
+	// IOWorkers is the number of workers that send what outboxes hold, 8 to
 	// 256. Default 16.
 	IOWorkers int `json:"io_workers"`
 }
@@ -106,7 +106,7 @@
 	defaultConnections = 130
 	minTokenLength     = 16
 	maxWorkers         = 256
-	minIOWorkers       = 4
+	minIOWorkers       = 8
 	maxSlots           = 4096
 	maxCount           = 65535
 )
--- a/tables/platform.go
+++ b/tables/platform.go
@@ -15,14 +15,17 @@
 	Wait time.Duration
 	// At is when it was decided on.
 	At time.Time
+	// Failures counts the failed reads in a row before it.
+	Failures int
 }
 
 // LogBatch is what came of a LogRead.
 type LogBatch struct {
-	// From and At are those of the LogRead.
-	From    uint64
-	At      time.Time
-	Records []platform.Record
+	// From, At and Failures are those of the LogRead.
+	From     uint64
+	At       time.Time
+	Failures int
+	Records  []platform.Record
 	// Err is nil when the read succeeded.
 	Err error
 	// RetryAt is when a failed read is tried again; zero until it is set.
