--- a/node/config.go
+++ b/node/config.go
@@ -56,7 +56,7 @@
 	floor.Register(n.pool, t, floor.Config{Host: n.self.Host, Started: started, Count: n.countDistribution})
 	snapwrite.Register(n.pool, t, snapwrite.Config{Started: started, Policy: policy, Count: n.countDistribution})
 	activate.Register(n.pool, t)
-	submit.Register(n.pool, t)
+	submit.Register(n.pool, t, n.options.Metrics.Count)
 }
 
 func (n *Node) random(stream uint64) *rand.Rand {
