--- a/controllers/logread/logread.go
+++ b/controllers/logread/logread.go
@@ -6,8 +6,6 @@
 import (
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/controller"
 	"github.com/marigoldshelf/marigoldshelf/platform"
@@ -17,8 +15,10 @@
 const (
 	// readWait is how long the platform holds a read for new records.
 	readWait = 10 * time.Second
-	// retryDelay is the pause after a failed read.
-	retryDelay = 500 * time.Millisecond
+	// retryBase and retryLimit bound the pause after a failed read; it doubles
+	// with each failure in a row.
+	retryBase  = 250 * time.Millisecond
+	retryLimit = 4 * time.Second
 )
 
 // Consumer folds records into tables.
@@ -34,8 +34,20 @@
 	Skip(tx *blackboard.Tx, offset uint64)
 }
 
-// Register adds the controller for one stream.
-func Register(p *controller.Pool, t *tables.Tables, s platform.Stream, c Consumer) {
+// Follower is a Consumer that reads only at times, and wants to know how each
+// read went.
+type Follower interface {
+	Consumer
+	// Wanted reports whether to read on.
+	Wanted(tx *blackboard.Tx) bool
+	// Observe is told of each read, failed ones too, after its records were
+	// folded.
+	Observe(tx *blackboard.Tx, now time.Time, batch tables.LogBatch)
+}
+
+// Register adds the controller for one stream. The handle makes it look again
+// whether reading is wanted.
+func Register(p *controller.Pool, t *tables.Tables, s platform.Stream, c Consumer) controller.Handle[platform.Stream] {
 	r := reader{tables: t, consumer: c}
 	handle := controller.Register(p, "logread", r.reconcile)
 	t.LogBatches.Watch(func(changed platform.Stream) {
@@ -44,6 +56,7 @@
 		}
 	})
 	handle.Add(s)
+	return handle
 }
 
 type reader struct {
@@ -70,21 +83,48 @@
 	batch, came := t.LogBatches.Get(tx, s)
 	switch {
 	case came && batch.Err != nil && batch.RetryAt.IsZero():
-		batch.RetryAt = now.Add(retryDelay)
+		pause := retryPause(now, batch)
+		batch.RetryAt = now.Add(pause)
+		r.observe(tx, now, batch)
 		t.LogBatches.Put(tx, s, batch)
-		return controller.Result{After: retryDelay}
+		return controller.Result{After: pause}
 	case came && batch.Err != nil && now.Before(batch.RetryAt):
 		return controller.Result{After: batch.RetryAt.Sub(now)}
-	case came && eris.Is(batch.Err, platform.ErrExpired):
+	case came && batch.Err != nil:
 		r.skip(tx, batch)
 	case came:
 		r.consumer.Fold(tx, now, batch.Records)
+		r.observe(tx, now, batch)
 	}
 	t.LogBatches.Delete(tx, s)
-	t.LogReads.Put(tx, s, tables.LogRead{From: r.consumer.Next(tx), Wait: readWait})
+	if follower, ok := r.consumer.(Follower); ok && !follower.Wanted(tx) {
+		return controller.Result{}
+	}
+	next := tables.LogRead{From: r.consumer.Next(tx), Wait: readWait, At: now}
+	if batch.Err != nil {
+		next.Failures = batch.Failures + 1
+	}
+	t.LogReads.Put(tx, s, next)
 	return controller.Result{}
 }
 
+// retryPause is the pause after a failed read. The instant's fraction spreads
+// the readers that failed together; one that learned the oldest offset needs
+// no pause worth the name.
+func retryPause(now time.Time, batch tables.LogBatch) time.Duration {
+	if _, told := platform.Oldest(batch.Err); told {
+		return time.Millisecond
+	}
+	pause := min(retryBase<<min(batch.Failures, 8), retryLimit)
+	return pause/2 + time.Duration(now.UnixNano())%pause
+}
+
+func (r reader) observe(tx *blackboard.Tx, now time.Time, batch tables.LogBatch) {
+	if follower, ok := r.consumer.(Follower); ok {
+		follower.Observe(tx, now, batch)
+	}
+}
+
 // skip tells the consumer which records are lost.
 func (r reader) skip(tx *blackboard.Tx, batch tables.LogBatch) {
 	if oldest, told := platform.Oldest(batch.Err); told && oldest > batch.From {
--- a/node/keys.go
+++ b/node/keys.go
@@ -12,7 +12,6 @@
 	"github.com/marigoldshelf/marigoldshelf/controllers/keysync"
 	"github.com/marigoldshelf/marigoldshelf/controllers/logread"
 	"github.com/marigoldshelf/marigoldshelf/decide/idempotency"
-	"github.com/marigoldshelf/marigoldshelf/encoding/hop"
 	"github.com/marigoldshelf/marigoldshelf/encoding/keys"
 	"github.com/marigoldshelf/marigoldshelf/front/keyed"
 	"github.com/marigoldshelf/marigoldshelf/front/keypeer"
@@ -50,7 +49,7 @@
 // registerKeyIO adds the duty of the I/O workers for keys.
 func (n *Node) registerKeyIO(ctx context.Context) {
 	t := n.tables
-	client := &http.Client{Transport: hop.NewTransport(0), Timeout: keyTimeout}
+	client := &http.Client{Transport: n.transport(0), Timeout: keyTimeout}
 	outbox.Serve(ctx, n.keyPool, t.Board, "send keys", t.KeySends, t.KeyReplies,
 		func(ctx context.Context, _ string, m tables.KeySend) tables.KeyReply {
 			return keypeer.Send(ctx, client, m)
--- a/tables/order.go
+++ b/tables/order.go
@@ -17,6 +17,19 @@
 	rankRoutes      blackboard.Rank = 110
 	rankSubmissions blackboard.Rank = 120
 
+	// Distribution: 150 to 199.
+	rankRole           blackboard.Rank = 150
+	rankFeed           blackboard.Rank = 152
+	rankFloor          blackboard.Rank = 154
+	rankServedVersions blackboard.Rank = 156
+	rankHint           blackboard.Rank = 158
+	rankLane           blackboard.Rank = 160
+	rankPulls          blackboard.Rank = 162
+	rankBudget         blackboard.Rank = 164
+	rankEncoded        blackboard.Rank = 166
+	rankShelf          blackboard.Rank = 168
+	rankSnapshotDuty   blackboard.Rank = 170
+
 	// Fleet: 200 to 299 membership, 300 to 399 where requests can go.
 	rankMembers   blackboard.Rank = 200
 	rankEndpoints blackboard.Rank = 300
@@ -46,6 +59,13 @@
 	rankKeySends    blackboard.Rank = 960
 	rankKeyReplies  blackboard.Rank = 970
 
+	// The same, of distribution: 950 to 969.
+	rankAsks          blackboard.Rank = 950
+	rankAskResults    blackboard.Rank = 951
+	rankRecallAsks    blackboard.Rank = 952
+	rankRecalls       blackboard.Rank = 953
+	rankBoundsAsks    blackboard.Rank = 954
+	rankBoundsResults blackboard.Rank = 955
 	// What the node says of itself: 980 to 999.
 	rankTold  blackboard.Rank = 980
 	rankLines blackboard.Rank = 990
@@ -55,6 +75,7 @@
 type Tables struct {
 	Board *blackboard.Board
 	Config
+	Spread
 	Fleet
 	Traffic
 	Keys
@@ -67,6 +88,7 @@
 	return &Tables{
 		Board:    b,
 		Config:   newConfig(b),
+		Spread:   newSpread(b),
 		Fleet:    newFleet(b),
 		Traffic:  newTraffic(b),
 		Keys:     newKeys(b),
--- a/tables/platform.go
+++ b/tables/platform.go
@@ -13,12 +13,19 @@
 	From uint64
 	// Wait is how long the platform may hold the answer for new records.
 	Wait time.Duration
+	// At is when it was decided on.
+	At time.Time
+	// Failures counts the failed reads in a row before it.
+	Failures int
 }
 
 // LogBatch is what came of a LogRead.
 type LogBatch struct {
-	From    uint64
-	Records []platform.Record
+	// From, At and Failures are those of the LogRead.
+	From     uint64
+	At       time.Time
+	Failures int
+	Records  []platform.Record
 	// Err is nil when the read succeeded.
 	Err error
 	// RetryAt is when a failed read is tried again; zero until it is set.
