--- a/node/node.go
+++ b/node/node.go
@@ -56,6 +56,7 @@
 	tables    *tables.Tables
 	pool      *controller.Pool
 	ioPool    *controller.Pool
+	keyPool   *controller.Pool
 	self      mesh.Member
 	listeners listeners
 	// transports are those whose idle connections end with the node.
@@ -78,6 +79,7 @@
 		tables:  tables.New(o.Board),
 		pool:    controller.New(o.Clock, o.Settings.Workers),
 		ioPool:  controller.New(o.Clock, o.Settings.IOWorkers),
+		keyPool: controller.New(o.Clock, keyWorkers),
 	}
 	if err := n.listen(); err != nil {
 		return nil, err
@@ -132,6 +134,7 @@
 func (n *Node) registerControllers() {
 	n.registerConfig()
 	n.registerTraffic()
+	n.registerKeys()
 	n.registerObserve()
 	n.registerFleet()
 }
@@ -143,6 +146,7 @@
 	n.registerIO(work)
 	front := n.probeFront()
 	front.RegisterSender(n.ioPool)
+	n.registerKeyIO(work)
 	servers, err := n.servers()
 	if err != nil {
 		return err
@@ -153,11 +157,13 @@
 	group.Go(func() { n.pool.Run(work) })
 	group.Go(func() { n.ioPool.Run(work) })
 	group.Go(func() { n.receiveProbes(work, front) })
+	group.Go(func() { n.keyPool.Run(work) })
 	for _, s := range servers {
 		group.Go(func() { s.run() })
 	}
 	<-ctx.Done()
 	defer n.closeIdle()
+	n.distribution().Release()
 	return shutdown(servers)
 }
 
@@ -197,7 +203,7 @@
 		return nil, eris.Wrap(err, "operators' API")
 	}
 	return []server{
-		newServer(n.listeners.callers, n.callerHandler()),
+		newServer(n.listeners.callers, n.keyedHandler(n.callerHandler())),
 		newServer(n.listeners.peers, n.peerMux()),
 		newServer(n.listeners.operators, n.operatorMux(operators)),
 	}, nil
