Process tests run again when the programs change

The go command took the result of test/process from its cache after the node's code had changed: the programs that it builds are neither part of the test's binary nor files that it opened. It now opens every source file. Seen: unchanged sources give the cached result, a touched controller runs the test again.

--- a/test/process/process.go
+++ b/test/process/process.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"io/fs"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -19,9 +20,13 @@
 // stopTimeout bounds the wait for a process that was asked to stop.
 const stopTimeout = 60 * time.Second
 
+// moduleRoot is the module's folder, seen from a test in this one.
+const moduleRoot = "../.."
+
 // Programs builds the programs named and returns their folder.
 func Programs(t *testing.T, names ...string) string {
 	t.Helper()
+	noteSources(t)
 	folder := t.TempDir()
 	for _, name := range names {
 		build := exec.Command("go", "build", "-o", filepath.Join(folder, name),
@@ -32,6 +37,24 @@
 	return folder
 }
 
+// noteSources opens every source file of the module. The go command keeps the
+// result of a test while its binary and the files it opened stay the same; the
+// programs are in neither, so a change of theirs would go untested.
+func noteSources(t *testing.T) {
+	t.Helper()
+	err := filepath.WalkDir(moduleRoot, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || filepath.Ext(path) != ".go" {
+			return err
+		}
+		file, err := os.Open(path)
+		if err != nil {
+			return err
+		}
+		return file.Close()
+	})
+	must.NoError(t, err)
+}
+
 // Process is a running program.
 type Process struct {
 	command *exec.Cmd
