--- a/node/config.go
+++ b/node/config.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/marigoldshelf/marigoldshelf/controller"
 	"github.com/marigoldshelf/marigoldshelf/controllers/activate"
 	"github.com/marigoldshelf/marigoldshelf/controllers/changes"
 	"github.com/marigoldshelf/marigoldshelf/controllers/floor"
@@ -17,6 +18,7 @@
 	"github.com/marigoldshelf/marigoldshelf/decide/snapshot"
 	"github.com/marigoldshelf/marigoldshelf/decide/spread"
 	"github.com/marigoldshelf/marigoldshelf/front/distrib"
+	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/outbox"
 	"github.com/marigoldshelf/marigoldshelf/platform"
 	"github.com/marigoldshelf/marigoldshelf/tables"
@@ -39,32 +41,50 @@
 	seedRelay
 )
 
-// registerConfig adds the controllers of changes and of the configuration.
-func (n *Node) registerConfig() {
-	t := n.tables
-	started := n.options.Clock.Now()
-	policy := snapshot.Policy{}.WithDefaults()
-	roles.Register(n.pool, t, n.self, spread.Config{})
-	follow.Register(n.pool, t, follow.Config{
-		Host: n.self.Host, Started: started, Changes: changes.Consumer{Tables: t},
-		Random: n.random(seedFollow), Writers: policy.Writers, Count: n.countDistribution,
+// Configuration is the part of a node that keeps its configuration: the
+// controllers of changes, distribution and recovery.
+type Configuration struct {
+	// Self is the node itself, Started the instant at which it started.
+	Self    mesh.Member
+	Started time.Time
+	// Seed starts the draws.
+	Seed uint64
+	// Spread and Snapshots are the shape of the distribution and the policy of
+	// recovery; their zero values take the defaults.
+	Spread    spread.Config
+	Snapshots snapshot.Policy
+	// Count is told each event and its reason.
+	Count func(event string, reason verdict.Reason)
+}
+
+// Register adds the controllers.
+func (c Configuration) Register(p *controller.Pool, t *tables.Tables) {
+	host, policy := c.Self.Host, c.Snapshots.WithDefaults()
+	count := func(reason string) { c.Count(distributionEvent, verdict.Reason(reason)) }
+	roles.Register(p, t, c.Self, c.Spread)
+	follow.Register(p, t, follow.Config{
+		Host: host, Started: c.Started, Changes: changes.Consumer{Tables: t},
+		Random: c.random(seedFollow), Writers: policy.Writers, Count: count,
 	})
-	relay.Register(n.pool, t, relay.Config{
-		Random: n.random(seedRelay),
-		Count:  func(k spread.Kind) { n.options.Metrics.Count(pullAnswerEvent, verdict.Reason(k.String())) },
+	relay.Register(p, t, relay.Config{
+		Random: c.random(seedRelay),
+		Count:  func(k spread.Kind) { c.Count(pullAnswerEvent, verdict.Reason(k.String())) },
 	})
-	floor.Register(n.pool, t, floor.Config{Host: n.self.Host, Started: started, Count: n.countDistribution})
-	snapwrite.Register(n.pool, t, snapwrite.Config{Started: started, Policy: policy, Count: n.countDistribution})
-	activate.Register(n.pool, t)
-	submit.Register(n.pool, t, n.options.Metrics.Count)
+	floor.Register(p, t, floor.Config{Host: host, Started: c.Started, Count: count})
+	snapwrite.Register(p, t, snapwrite.Config{Started: c.Started, Policy: policy, Count: count})
+	activate.Register(p, t)
+	submit.Register(p, t, c.Count)
 }
 
-func (n *Node) random(stream uint64) *rand.Rand {
-	return rand.New(rand.NewPCG(n.options.Seed+stream, uint64(n.self.Incarnation)))
+func (c Configuration) random(stream uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(c.Seed+stream, uint64(c.Self.Incarnation)))
 }
 
-func (n *Node) countDistribution(event string) {
-	n.options.Metrics.Count(distributionEvent, verdict.Reason(event))
+// registerConfig adds the controllers of changes and of the configuration.
+func (n *Node) registerConfig() {
+	Configuration{
+		Self: n.self, Started: n.options.Clock.Now(), Seed: n.options.Seed, Count: n.options.Metrics.Count,
+	}.Register(n.pool, n.tables)
 }
 
 // registerIO adds the duties of the I/O workers.
