--- a/node/control.go
+++ b/node/control.go
@@ -9,6 +9,7 @@
 
 // registerControl adds the nodes' control services to the peers' listener.
 func (n *Node) registerControl(mux *http.ServeMux) {
+	n.registerKeyControl(mux)
 	service := messages.NewDistributionServer(n.distribution())
 	mux.Handle(service.PathPrefix(), service)
 }
--- a/tables/order.go
+++ b/tables/order.go
@@ -43,6 +43,12 @@
 	rankAdmissions blackboard.Rank = 520
 
 	// Idempotency keys: 600 to 699.
+	rankClaims        blackboard.Rank = 600
+	rankKeyMap        blackboard.Rank = 610
+	rankKeyPlan       blackboard.Rank = 620
+	rankKeyShards     blackboard.Rank = 630
+	rankKeyEntries    blackboard.Rank = 640
+	rankKeyOperations blackboard.Rank = 650
 
 	// Outboxes and inboxes: 900 to 979.
 	rankPositions   blackboard.Rank = 900
@@ -50,6 +56,8 @@
 	rankLogBatches  blackboard.Rank = 920
 	rankAppends     blackboard.Rank = 930
 	rankAppendsDone blackboard.Rank = 940
+	rankKeySends    blackboard.Rank = 960
+	rankKeyReplies  blackboard.Rank = 970
 
 	// The same, of distribution: 950 to 969.
 	rankAsks          blackboard.Rank = 950
@@ -70,6 +78,7 @@
 	Spread
 	Fleet
 	Traffic
+	Keys
 	Platform
 	Journal
 }
@@ -82,6 +91,7 @@
 		Spread:   newSpread(b),
 		Fleet:    newFleet(b),
 		Traffic:  newTraffic(b),
+		Keys:     newKeys(b),
 		Platform: newPlatform(b),
 		Journal:  newJournal(b),
 	}
