--- a/tables/order.go
+++ b/tables/order.go
@@ -17,8 +17,30 @@
 	rankRoutes      blackboard.Rank = 110
 	rankSubmissions blackboard.Rank = 120
 
+	// Distribution: 150 to 199.
+	rankRole           blackboard.Rank = 150
+	rankFeed           blackboard.Rank = 152
+	rankFloor          blackboard.Rank = 154
+	rankServedVersions blackboard.Rank = 156
+	rankHint           blackboard.Rank = 158
+	rankLane           blackboard.Rank = 160
+	rankPulls          blackboard.Rank = 162
+	rankBudget         blackboard.Rank = 164
+	rankEncoded        blackboard.Rank = 166
+	rankShelf          blackboard.Rank = 168
+	rankSnapshotDuty   blackboard.Rank = 170
+
 	// Fleet: 200 to 299 membership, 300 to 399 where requests can go.
 	rankMembers   blackboard.Rank = 200
+	rankPeers     blackboard.Rank = 210
+	rankZones     blackboard.Rank = 220
+	rankSelf      blackboard.Rank = 230
+	rankProber    blackboard.Rank = 240
+	rankProbes    blackboard.Rank = 245
+	rankNews      blackboard.Rank = 250
+	rankZoneNews  blackboard.Rank = 260
+	rankContacts  blackboard.Rank = 270
+	rankMeeting   blackboard.Rank = 280
 	rankEndpoints blackboard.Rank = 300
 	rankLoads     blackboard.Rank = 310
 	rankInFlight  blackboard.Rank = 320
@@ -30,14 +52,32 @@
 	rankAdmissions blackboard.Rank = 520
 
 	// Idempotency keys: 600 to 699.
+	rankClaims        blackboard.Rank = 600
+	rankKeyMap        blackboard.Rank = 610
+	rankKeyPlan       blackboard.Rank = 620
+	rankKeyShards     blackboard.Rank = 630
+	rankKeyEntries    blackboard.Rank = 640
+	rankKeyOperations blackboard.Rank = 650
 
 	// Outboxes and inboxes: 900 to 979.
-	rankPositions   blackboard.Rank = 900
-	rankLogReads    blackboard.Rank = 910
-	rankLogBatches  blackboard.Rank = 920
-	rankAppends     blackboard.Rank = 930
-	rankAppendsDone blackboard.Rank = 940
+	rankPositions    blackboard.Rank = 900
+	rankLogReads     blackboard.Rank = 910
+	rankLogBatches   blackboard.Rank = 920
+	rankAppends      blackboard.Rank = 930
+	rankAppendsDone  blackboard.Rank = 940
+	rankMessageCount blackboard.Rank = 942
+	rankMessagesOut  blackboard.Rank = 944
+	rankMessagesIn   blackboard.Rank = 946
+	rankKeySends     blackboard.Rank = 960
+	rankKeyReplies   blackboard.Rank = 970
 
+	// The same, of distribution: 950 to 969.
+	rankAsks          blackboard.Rank = 950
+	rankAskResults    blackboard.Rank = 951
+	rankRecallAsks    blackboard.Rank = 952
+	rankRecalls       blackboard.Rank = 953
+	rankBoundsAsks    blackboard.Rank = 954
+	rankBoundsResults blackboard.Rank = 955
 	// What the node says of itself: 980 to 999.
 	rankTold  blackboard.Rank = 980
 	rankLines blackboard.Rank = 990
@@ -47,9 +87,12 @@
 type Tables struct {
 	Board *blackboard.Board
 	Config
+	Spread
 	Fleet
 	Traffic
+	Keys
 	Platform
+	Messages
 	Journal
 }
 
@@ -58,9 +101,12 @@
 	return &Tables{
 		Board:    b,
 		Config:   newConfig(b),
+		Spread:   newSpread(b),
 		Fleet:    newFleet(b),
 		Traffic:  newTraffic(b),
+		Keys:     newKeys(b),
 		Platform: newPlatform(b),
+		Messages: newMessages(b),
 		Journal:  newJournal(b),
 	}
 }
