--- a/controllers/roles/roles.go
+++ b/controllers/roles/roles.go
@@ -15,24 +15,43 @@
 // theKey is the controller's only key.
 const theKey = 0
 
-// Register adds the controller for the node self.
-func Register(p *controller.Pool, t *tables.Tables, self mesh.Member, c spread.Config) {
-	handle := controller.Register(p, "roles", func(time.Time, int) controller.Result {
-		t.Board.Do(func(tx *blackboard.Tx) { assign(tx, t, self, c) }, t.Role.Write(), t.Members.Read())
-		return controller.Result{}
+// aloneDelay is how long a started node that knows no other waits before it
+// takes itself to be the first. Without it, every node of a herd would read
+// the log until it knows its zone.
+const aloneDelay = time.Second
+
+// Config sets the controller up.
+type Config struct {
+	// Self is the node, Started the instant at which it started.
+	Self    mesh.Member
+	Started time.Time
+	Spread  spread.Config
+}
+
+// Register adds the controller.
+func Register(p *controller.Pool, t *tables.Tables, c Config) {
+	handle := controller.Register(p, "roles", func(now time.Time, _ int) (result controller.Result) {
+		t.Board.Do(func(tx *blackboard.Tx) { result = assign(tx, t, c, now) }, t.Role.Write(), t.Members.Read())
+		return result
 	})
 	t.Members.Watch(func(mesh.HostID) { handle.Add(theKey) })
 	handle.Add(theKey)
 }
 
-func assign(tx *blackboard.Tx, t *tables.Tables, self mesh.Member, c spread.Config) {
+func assign(tx *blackboard.Tx, t *tables.Tables, c Config, now time.Time) controller.Result {
 	var members []mesh.Member
-	t.Members.Each(tx, func(_ mesh.HostID, m mesh.Member) bool {
-		members = append(members, m)
+	t.Members.Each(tx, func(host mesh.HostID, m mesh.Member) bool {
+		if host != c.Self.Host {
+			members = append(members, m)
+		}
 		return true
 	})
-	role := spread.Assign(self, members, c)
+	if wait := c.Started.Add(aloneDelay).Sub(now); len(members) == 0 && wait > 0 {
+		return controller.Result{After: wait}
+	}
+	role := spread.Assign(c.Self, members, c.Spread)
 	if !role.Equal(t.Role.Get(tx)) {
 		t.Role.Set(tx, role)
 	}
+	return controller.Result{}
 }
--- a/internal/stepped/fleet.go
+++ b/internal/stepped/fleet.go
@@ -17,6 +17,7 @@
 	"github.com/marigoldshelf/marigoldshelf/clock"
 	"github.com/marigoldshelf/marigoldshelf/decide/snapshot"
 	"github.com/marigoldshelf/marigoldshelf/decide/spread"
+	"github.com/marigoldshelf/marigoldshelf/encoding/distrib"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/platform"
 	"github.com/marigoldshelf/marigoldshelf/platform/standin"
@@ -29,8 +30,6 @@
 	// Delay is the time that a message takes one way, up to twice that with
 	// jitter.
 	Delay time.Duration
-	// Loss is the share of exchanges that are lost; the asking side times out.
-	Loss float64
 	// Log is the platform's log.
 	Log standin.Options
 	// Spread and Snapshots are handed to every node.
@@ -49,6 +48,10 @@
 	Counts map[[2]string]int
 	// Traffic sums what was sent.
 	Traffic Traffic
+	// Loss is the share of messages that are lost; the asking side times out.
+	Loss float64
+	// Garbled is the share of answers between nodes in which a byte is changed.
+	Garbled float64
 	// Cut says whether messages from one host to another are lost; the
 	// platform is the host "".
 	Cut func(from, to mesh.HostID) bool
@@ -65,7 +68,7 @@
 type Traffic struct {
 	// Pulls and PullBytes are requests to other nodes and their answers.
 	Pulls, PullBytes int
-	// Busiest has the bytes that each node sent and received as the one asked.
+	// Asked has the bytes that each node sent and received as the one asked.
 	Asked map[mesh.HostID]int
 	// Reads, ReadBytes and Appends are requests to the platform.
 	Reads, ReadBytes, Appends int
@@ -159,12 +162,26 @@
 
 // lost reports whether an exchange between two hosts is lost.
 func (f *Fleet) lost(a, b mesh.HostID) bool {
-	if f.options.Loss > 0 && f.random.Float64() < f.options.Loss {
+	if f.Loss > 0 && f.random.Float64() < f.Loss {
 		return true
 	}
 	return f.Cut != nil && (f.Cut(a, b) || f.Cut(b, a))
 }
 
+// garble changes a byte of an answer now and then.
+func (f *Fleet) garble(m *distrib.PullAnswer) {
+	if f.Garbled == 0 || f.random.Float64() >= f.Garbled {
+		return
+	}
+	data := m.GetChunk().GetData()
+	if len(m.Records) > 0 {
+		data = m.Records[f.random.IntN(len(m.Records))].Data
+	}
+	if len(data) > 0 {
+		data[f.random.IntN(len(data))] ^= 1
+	}
+}
+
 // eventHeap implements heap.Interface.
 type eventHeap []event
 
--- a/internal/stepped/node.go
+++ b/internal/stepped/node.go
@@ -194,7 +194,8 @@
 			if f.lost(a.To.Host, n.Member.Host) {
 				return
 			}
-			reply := distrib.FromAnswer(answer)
+			reply := proto.CloneOf(distrib.FromAnswer(answer))
+			f.garble(reply)
 			size += proto.Size(reply)
 			f.Traffic.Pulls++
 			f.Traffic.PullBytes += size
--- a/node/config.go
+++ b/node/config.go
@@ -61,7 +61,7 @@
 func (c Configuration) Register(p *controller.Pool, t *tables.Tables) {
 	host, policy := c.Self.Host, c.Snapshots.WithDefaults()
 	count := func(reason string) { c.Count(distributionEvent, verdict.Reason(reason)) }
-	roles.Register(p, t, c.Self, c.Spread)
+	roles.Register(p, t, roles.Config{Self: c.Self, Started: c.Started, Spread: c.Spread})
 	follow.Register(p, t, follow.Config{
 		Host: host, Started: c.Started, Changes: changes.Consumer{Tables: t},
 		Random: c.random(seedFollow), Writers: policy.Writers, Count: count,
