--- a/decide/change/fold.go
+++ b/decide/change/fold.go
@@ -95,7 +95,7 @@
 	}
 	next := f.s.Config.Apply(e)
 	if faults := route.Check(next); len(faults) > 0 {
-		return next, refusal{code: BadConfiguration, detail: fmt.Sprintf("%d faults", len(faults)), faults: faults}
+		return next, refusal{code: BadConfiguration, detail: "the whole configuration would have faults", faults: faults}
 	}
 	if mesh.Diff(f.s.Config, next).Empty() {
 		return next, refuse(EmptyChange, "the proposal changes nothing")
--- a/decide/change/outcome.go
+++ b/decide/change/outcome.go
@@ -51,8 +51,8 @@
 	Refusal Refusal `json:"refusal,omitempty"`
 	// Detail is the reason in words.
 	Detail string `json:"detail,omitempty"`
-	// Faults are the faults of a BadConfiguration. A repeated record gets
-	// their first ones, in Detail.
+	// Faults are the faults of a BadConfiguration. A record that is asked for
+	// again gets the first of them, in Detail.
 	Faults route.Faults `json:"faults,omitempty"`
 	// Version is the configuration in force after the record.
 	Version mesh.Version `json:"version"`
--- a/decide/submit/submit.go
+++ b/decide/submit/submit.go
@@ -18,8 +18,9 @@
 	Pending State = "pending"
 	// InLog: the record was read back from the log; Outcome says what it did.
 	InLog State = "in_log"
-	// NotInLog: the platform refused every append of this submission.
-	NotInLog State = "not_in_log"
+	// NotAppended: the platform refused every append of this submission. The
+	// record is not in the log, unless it was submitted before or elsewhere.
+	NotAppended State = "not_appended"
 	// Unknown: an append went unanswered and the record was not read back.
 	Unknown State = "unknown"
 	// Refused: it was not appended, since the log could only refuse it.
@@ -27,8 +28,11 @@
 )
 
 const (
-	// retryDelay is the pause between two appends of one record.
+	// retryDelay is the pause before the second append of a record; it doubles
+	// with each further one.
 	retryDelay = 300 * time.Millisecond
+	// maxDoublings bounds the pause at 9.6 s.
+	maxDoublings = 5
 	// keepFor is how long a settled submission is kept: for those who wait for
 	// it, and for those who ask again.
 	keepFor = 30 * time.Second
@@ -46,6 +50,8 @@
 	Appended bool
 	// Unanswered is true once an append may have taken effect unconfirmed.
 	Unanswered bool
+	// Failed is the number of appends that failed.
+	Failed int
 	// RetryAt is when to append again; zero while an append is under way.
 	RetryAt time.Time
 	// DropAt is when a settled submission is dropped; zero while pending.
@@ -71,6 +77,7 @@
 		return s, true
 	}
 	s.State = Pending
+	s.Failed = 0
 	s.DropAt = time.Time{}
 	if deadline.After(s.Deadline) {
 		s.Deadline = deadline
@@ -114,7 +121,8 @@
 		s.RetryAt = time.Time{}
 	default:
 		s.Unanswered = s.Unanswered || a.MayBeInLog
-		s.RetryAt = now.Add(retryDelay)
+		s.RetryAt = now.Add(retryDelay << min(s.Failed, maxDoublings))
+		s.Failed++
 	}
 	return s
 }
@@ -128,7 +136,7 @@
 	if s.Appended || s.Unanswered || underWay {
 		s.State = Unknown
 	} else {
-		s.State = NotInLog
+		s.State = NotAppended
 	}
 	s.DropAt = now.Add(keepFor)
 	return s
--- a/front/operator/submit.go
+++ b/front/operator/submit.go
@@ -76,7 +76,7 @@
 	ID    string       `json:"id"`
 	State submit.State `json:"state"`
 	// Outcome is what the record did, or why it was refused; nil when the
-	// state is not_in_log or unknown.
+	// state is not_appended or unknown.
 	Outcome *change.Outcome `json:"outcome,omitempty"`
 	// Digest is that of the proposal, in the answer to a propose request.
 	Digest string `json:"digest,omitempty"`
@@ -134,9 +134,9 @@
 	case submit.InLog, submit.Refused:
 		answer.Outcome = &s.Outcome
 		status = a.outcomeStatus(s.Outcome)
-	case submit.NotInLog:
+	case submit.NotAppended:
 		status = http.StatusServiceUnavailable
-		a.Meter.Count(refusedEvent, verdict.Reason(submit.NotInLog))
+		a.Meter.Count(refusedEvent, verdict.Reason(submit.NotAppended))
 	default:
 		status = http.StatusAccepted
 		a.Meter.Count(refusedEvent, verdict.Reason(submit.Unknown))
