--- a/node/node.go
+++ b/node/node.go
@@ -56,6 +56,7 @@
 	tables    *tables.Tables
 	pool      *controller.Pool
 	ioPool    *controller.Pool
+	keyPool   *controller.Pool
 	self      mesh.Member
 	listeners listeners
 	// transports are those whose idle connections end with the node.
@@ -65,6 +66,7 @@
 // listeners are the node's open ports.
 type listeners struct {
 	callers, peers, operators net.Listener
+	probes                    net.PacketConn
 }
 
 // New opens the node's ports and puts its parts together.
@@ -77,6 +79,7 @@
 		tables:  tables.New(o.Board),
 		pool:    controller.New(o.Clock, o.Settings.Workers),
 		ioPool:  controller.New(o.Clock, o.Settings.IOWorkers),
+		keyPool: controller.New(o.Clock, keyWorkers),
 	}
 	if err := n.listen(); err != nil {
 		return nil, err
@@ -91,12 +94,15 @@
 		State:       mesh.Alive,
 		PeerAddress: n.listeners.peers.Addr().String(),
 	}
-	return n, n.registerControllers()
+	n.self.Life = n.self.Incarnation
+	n.self.ProbeAddress = n.listeners.probes.LocalAddr().String()
+	n.registerControllers()
+	return n, nil
 }
 
 // Addresses are the ports that a node listens on.
 type Addresses struct {
-	Callers, Peers, Operators string
+	Callers, Peers, Operators, Probes string
 }
 
 // Addresses returns the node's ports.
@@ -105,6 +111,7 @@
 		Callers:   n.listeners.callers.Addr().String(),
 		Peers:     n.listeners.peers.Addr().String(),
 		Operators: n.listeners.operators.Addr().String(),
+		Probes:    n.listeners.probes.LocalAddr().String(),
 	}
 }
 
@@ -116,16 +123,20 @@
 	if n.listeners.peers, err = n.options.Network.Listen(l.Peers); err != nil {
 		return eris.Wrap(err, "listen for peers")
 	}
-	n.listeners.operators, err = n.options.Network.Listen(l.Operators)
-	return eris.Wrap(err, "listen for operators")
+	if n.listeners.operators, err = n.options.Network.Listen(l.Operators); err != nil {
+		return eris.Wrap(err, "listen for operators")
+	}
+	n.listeners.probes, err = n.options.Network.ListenPacket(l.Probes)
+	return eris.Wrap(err, "listen for probes")
 }
 
 // registerControllers puts the controllers of each area on the pool.
-func (n *Node) registerControllers() error {
+func (n *Node) registerControllers() {
 	n.registerConfig()
 	n.registerTraffic()
+	n.registerKeys()
 	n.registerObserve()
-	return n.registerFleet()
+	n.registerFleet()
 }
 
 // Run serves until ctx ends, then lets what is under way finish.
@@ -133,6 +144,9 @@
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	n.registerIO(work)
+	front := n.probeFront()
+	front.RegisterSender(n.ioPool)
+	n.registerKeyIO(work)
 	servers, err := n.servers()
 	if err != nil {
 		return err
@@ -142,11 +156,14 @@
 	defer stopWork()
 	group.Go(func() { n.pool.Run(work) })
 	group.Go(func() { n.ioPool.Run(work) })
+	group.Go(func() { n.receiveProbes(work, front) })
+	group.Go(func() { n.keyPool.Run(work) })
 	for _, s := range servers {
 		group.Go(func() { s.run() })
 	}
 	<-ctx.Done()
 	defer n.closeIdle()
+	n.distribution().Release()
 	return shutdown(servers)
 }
 
@@ -186,7 +203,7 @@
 		return nil, eris.Wrap(err, "operators' API")
 	}
 	return []server{
-		newServer(n.listeners.callers, n.callerHandler()),
+		newServer(n.listeners.callers, n.keyedHandler(n.callerHandler())),
 		newServer(n.listeners.peers, n.peerMux()),
 		newServer(n.listeners.operators, n.operatorMux(operators)),
 	}, nil
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -27,13 +27,14 @@
 	// Region is the region of the zone; it may be left out when there is one.
 	Region   mesh.Region  `json:"region"`
 	Listen   Listen       `json:"listen"`
+	Peers    Peers        `json:"peers"`
 	Backend  Backend      `json:"backend"`
 	Platform Platform     `json:"platform"`
 	Logins   []Credential `json:"credentials"`
 	// Workers is the number of workers of the controllers' pool, 1 to 256.
 	// Default 4.
 	Workers int `json:"workers"`
-	// IOWorkers is the number of workers that send what outboxes hold, 4 to
+	// IOWorkers is the number of workers that send what outboxes hold, 8 to
 	// 256. Default 16.
 	IOWorkers int `json:"io_workers"`
 }
@@ -46,6 +47,20 @@
 	Peers string `json:"peers"`
 	// Operators is for operators and customers. Required.
 	Operators string `json:"operators"`
+	// Probes is for the datagrams (UDP) of membership; it must be reachable
+	// from other nodes. Default the address and port of Peers.
+	Probes string `json:"probes,omitempty"`
+}
+
+// Peers says how nodes find and trust each other.
+type Peers struct {
+	// Seeds are the probe addresses, as IP:port, of nodes to join through when
+	// the platform is down at the start, at most 64. Default none.
+	Seeds []string `json:"seeds,omitempty"`
+	// Secret authenticates datagrams between nodes: all nodes have the same, at
+	// least 16 characters. It is never logged. Default none: then any host that
+	// reaches the port can speak as a node.
+	Secret string `json:"secret,omitempty"`
 }
 
 // Backend describes the host's backend server.
@@ -105,8 +120,9 @@
 	defaultIOWorkers   = 16
 	defaultConnections = 130
 	minTokenLength     = 16
+	maxSeeds           = 64
 	maxWorkers         = 256
-	minIOWorkers       = 4
+	minIOWorkers       = 8
 	maxSlots           = 4096
 	maxCount           = 65535
 )
@@ -143,6 +159,9 @@
 	if s.IOWorkers == 0 {
 		s.IOWorkers = defaultIOWorkers
 	}
+	if s.Listen.Probes == "" {
+		s.Listen.Probes = s.Listen.Peers
+	}
 	if s.Backend.Connections == 0 {
 		s.Backend.Connections = defaultConnections
 	}
@@ -159,6 +178,8 @@
 	c.address("listen.callers", s.Listen.Callers)
 	c.address("listen.peers", s.Listen.Peers)
 	c.address("listen.operators", s.Listen.Operators)
+	c.address("listen.probes", s.Listen.Probes)
+	c.peers(s.Peers)
 	c.text("backend.service", string(s.Backend.Service))
 	c.address("backend.address", s.Backend.Address)
 	c.between("backend.slots", s.Backend.Slots, 1, maxSlots)
@@ -198,6 +219,18 @@
 	}
 }
 
+func (c *checker) peers(p Peers) {
+	if len(p.Seeds) > maxSeeds {
+		c.add("peers.seeds", "must have at most "+strconv.Itoa(maxSeeds)+" entries")
+	}
+	for i, seed := range p.Seeds {
+		c.address("peers.seeds["+strconv.Itoa(i)+"]", seed)
+	}
+	if p.Secret != "" && len(p.Secret) < minTokenLength {
+		c.add("peers.secret", "must have at least "+strconv.Itoa(minTokenLength)+" characters")
+	}
+}
+
 func (c *checker) url(key, value string) {
 	u, err := url.Parse(value)
 	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
