--- a/test/session/world_test.go
+++ b/test/session/world_test.go
@@ -18,6 +18,7 @@
 	"github.com/marigoldshelf/marigoldshelf/controllers/changes"
 	"github.com/marigoldshelf/marigoldshelf/controllers/submit"
 	"github.com/marigoldshelf/marigoldshelf/decide/change"
+	"github.com/marigoldshelf/marigoldshelf/decide/spread"
 	"github.com/marigoldshelf/marigoldshelf/front/operator"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/metrics"
@@ -77,6 +78,9 @@
 		pool:   controller.New(w.clock, 1),
 		ioPool: controller.New(w.clock, 1),
 	}
+	n.tables.Board.Do(func(tx *blackboard.Tx) {
+		n.tables.Floor.Set(tx, spread.Floor{Known: true}) // nothing was served before
+	}, n.tables.Floor.Write())
 	meter := metrics.New(tally.NoopScope)
 	activate.Register(n.pool, n.tables)
 	submit.Register(n.pool, n.tables, meter.Count)
