--- a/controllers/membership/faults_test.go
+++ b/controllers/membership/faults_test.go
@@ -227,3 +227,15 @@
 	n.loss = 0
 	n.until("all know all", 10*time.Second, n.whole)
 }
+
+// A relay dies after a long quiet time; the one that takes its place has never
+// spoken with the other zones, which does not make them unreachable.
+func TestNewRelayDoesNotFindZonesUnreachable(t *testing.T) {
+	n := threeZones(t, 14)
+	n.run(20 * time.Second)
+	for _, h := range n.nodes[:3] {
+		h.down = true
+		n.run(10 * time.Second)
+	}
+	must.Eq(t, 0, n.count(controllers.EventZoneUnreachable))
+}
--- a/controllers/membership/probe.go
+++ b/controllers/membership/probe.go
@@ -163,7 +163,7 @@
 // suspect spreads that a member did not answer, unless it has said something
 // newer meanwhile.
 func (f fleet) suspect(tx *blackboard.Tx, now time.Time, probe membership.Probe) {
-	f.Prober.Set(tx, f.Prober.Get(tx).Worse())
+	f.Prober.Set(tx, f.Prober.Get(tx).Failed(probe))
 	peer, known := f.Peers.Get(tx, probe.Target)
 	if !known || peer.Phase == membership.Gone || peer.Member.Incarnation != probe.Incarnation {
 		return
--- a/controllers/membership/receive.go
+++ b/controllers/membership/receive.go
@@ -93,7 +93,7 @@
 		return
 	}
 	f.Probes.Delete(tx, m.Sequence)
-	f.Prober.Set(tx, f.Prober.Get(tx).Better())
+	f.Prober.Set(tx, f.Prober.Get(tx).Acked(now))
 	if probe.For != "" {
 		f.sendTo(tx, probe.For, membership.Message{Kind: membership.Ack, Target: m.Target, Sequence: probe.ForSequence})
 		return
--- a/controllers/membership/suspicion.go
+++ b/controllers/membership/suspicion.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
@@ -9,10 +10,6 @@
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 )
 
-// checkers is the mean number of members that probe a suspected one at once,
-// to confirm or to end the suspicion.
-const checkers = 4
-
 // registerSuspicions adds the controller that ends suspicions; its key is the
 // host suspected.
 func (f fleet) registerSuspicions(p *controller.Pool) {
@@ -47,12 +44,15 @@
 	return controller.Result{}
 }
 
-// check lets a few of the members probe one that somebody else suspects.
+// check probes a member that somebody else suspects, if this node is one of
+// its checkers.
 func (f fleet) check(tx *blackboard.Tx, now time.Time, peer membership.Peer) {
 	if len(peer.Accusers) != 1 || peer.Accusers[0] == f.Config.Self.Host {
 		return
 	}
-	if f.Random.IntN(max(len(f.fellows(tx)), 1)) < checkers {
+	up := f.up(tx)
+	usable := func(id mesh.HostID) bool { return id == f.Config.Self.Host || up(id) }
+	if slices.Contains(membership.Checkers(f.fellows(tx), peer.Member.Host, usable), f.Config.Self.Host) {
 		f.ping(tx, now, peer.Member.Host, membership.Probe{})
 	}
 }
--- a/controllers/membership/zones.go
+++ b/controllers/membership/zones.go
@@ -21,11 +21,16 @@
 	f.noticeSleep(tx, now)
 	f.watchOwnZone(tx, now)
 	relays := f.ownRelays(tx)
+	place := 0
 	f.Zones.Each(tx, func(name mesh.Zone, zone membership.Zone) bool {
-		relay, any := membership.RelayFor(relays, name)
-		if any && relay == f.Config.Self.Host && name != f.Config.Self.Zone {
+		if name == f.Config.Self.Zone {
+			return true
+		}
+		relay, any := membership.RelayFor(relays, place)
+		if any && relay == f.Config.Self.Host {
 			f.probeZone(tx, now, name, zone)
 		}
+		place++
 		return true
 	})
 	return controller.Result{After: f.Times.Period}
@@ -43,27 +48,24 @@
 }
 
 // probeZone pings one relay of another zone, or all of them while the zone is
-// silent, and declares it unreachable when it stays so. The first probe sets
-// the clock running.
+// silent, and declares it unreachable when it stays so.
 func (f fleet) probeZone(tx *blackboard.Tx, now time.Time, name mesh.Zone, zone membership.Zone) {
 	relays := f.relaysOf(tx, zone)
 	if len(relays) == 0 {
 		return
 	}
-	if zone.HeardAt.IsZero() {
-		zone.HeardAt = now
-		f.Zones.Put(tx, name, zone)
-	}
-	silence := now.Sub(zone.HeardAt)
+	zone = zone.Probed(now, f.Times)
+	f.Zones.Put(tx, name, zone)
+	silence := now.Sub(zone.SilentSince)
 	if silence > f.Times.ZoneTimeout && !zone.Reach.Unreachable {
 		f.Count(EventZoneUnreachable)
 		f.spreadReach(tx, name, true)
 	}
 	targets := []mesh.HostID{relays[f.Random.IntN(len(relays))]}
-	if silence > f.Times.Period+f.Times.AckTimeout {
+	if silence > f.Times.Period/2 {
 		targets = relays
 	}
-	digest := []membership.Digest{f.digest(tx, f.Config.Self.Zone), f.digest(tx, name)}
+	digest := []membership.Digest{f.digest(tx, f.Config.Self.Zone)}
 	for _, id := range targets {
 		peer, _ := f.Peers.Get(tx, id)
 		probe := membership.Probe{Target: id, Incarnation: peer.Member.Incarnation, SentAt: now, Across: true}
@@ -85,13 +87,12 @@
 	if zone.HeardAt.Equal(now) {
 		return
 	}
-	zone.HeardAt = now
+	zone = zone.Heard(now)
 	f.Zones.Put(tx, name, zone)
 	if !zone.Reach.Unreachable {
 		return
 	}
-	relay, any := membership.RelayFor(f.ownRelays(tx), name)
-	if name == f.Config.Self.Zone || any && relay == f.Config.Self.Host {
+	if name == f.Config.Self.Zone || f.isRelay(tx) {
 		f.spreadReach(tx, name, false)
 	}
 }
--- a/decide/membership/prober.go
+++ b/decide/membership/prober.go
@@ -43,6 +43,8 @@
 	Sequence uint64
 	// Round has the members still to probe in this round, in random order.
 	Round []mesh.HostID
+	// AckedAt is when a probe was last answered.
+	AckedAt time.Time
 	// Health is zero when the node itself is well; it grows when answers stay
 	// out, and stretches the node's timeouts, so that a slow node does not
 	// accuse healthy ones.
@@ -60,8 +62,18 @@
 	return p
 }
 
-// Better returns the prober with its health one step better.
-func (p Prober) Better() Prober {
+// Failed returns the prober after a probe failed. Its own health is in doubt
+// only if nobody else answered since the probe was sent.
+func (p Prober) Failed(probe Probe) Prober {
+	if p.AckedAt.After(probe.SentAt) {
+		return p
+	}
+	return p.Worse()
+}
+
+// Acked returns the prober after a probe was answered, one step healthier.
+func (p Prober) Acked(now time.Time) Prober {
+	p.AckedAt = now
 	p.Health = max(p.Health-1, 0)
 	return p
 }
@@ -127,6 +139,20 @@
 	return "", false
 }
 
+// Checkers returns the members after a suspected one in its ring, which probe
+// it at once to confirm or to end the suspicion.
+func Checkers(ring []mesh.HostID, suspect mesh.HostID, usable func(mesh.HostID) bool) []mesh.HostID {
+	start, _ := slices.BinarySearchFunc(ring, suspect, compareRank)
+	var checkers []mesh.HostID
+	for i := 1; i < len(ring) && len(checkers) <= maxAccusers; i++ {
+		id := ring[(start+i)%len(ring)]
+		if id != suspect && usable(id) {
+			checkers = append(checkers, id)
+		}
+	}
+	return checkers
+}
+
 // Draw takes the next member of the random round, which is drawn anew from
 // ring when it is used up, so that nobody waits longer than two rounds.
 func (p Prober) Draw(ring []mesh.HostID, usable func(mesh.HostID) bool, random *rand.Rand) (Prober, mesh.HostID, bool) {
--- a/decide/membership/zone.go
+++ b/decide/membership/zone.go
@@ -38,6 +38,27 @@
 	Digest uint64
 	// HeardAt is when a datagram last came from the zone.
 	HeardAt time.Time
+	// SilentSince is when this node sent the first probe to the zone that was
+	// not answered yet; zero when there is none. ProbedAt is the last one's.
+	SilentSince time.Time
+	ProbedAt    time.Time
+}
+
+// Heard returns the zone after a datagram came from it.
+func (z Zone) Heard(now time.Time) Zone {
+	z.HeardAt = now
+	z.SilentSince = time.Time{}
+	return z
+}
+
+// Probed returns the zone with a probe to it sent. A node that has not probed
+// it for a while, since others did, starts to count anew.
+func (z Zone) Probed(now time.Time, c Config) Zone {
+	if z.SilentSince.IsZero() || now.Sub(z.ProbedAt) > 2*c.Period+c.AckTimeout {
+		z.SilentSince = now
+	}
+	z.ProbedAt = now
+	return z
 }
 
 // Digest sums up what a node holds of a zone, to compare it with a peer.
@@ -78,12 +99,13 @@
 	return relays
 }
 
-// RelayFor returns which of the relays probes the zone named.
-func RelayFor(relays []mesh.HostID, zone mesh.Zone) (mesh.HostID, bool) {
+// RelayFor returns which of the relays probes the zone that has the place
+// given among all zones, so that the relays share them evenly.
+func RelayFor(relays []mesh.HostID, place int) (mesh.HostID, bool) {
 	if len(relays) == 0 {
 		return "", false
 	}
-	return relays[hashOf(string(zone))%uint64(len(relays))], true
+	return relays[place%len(relays)], true
 }
 
 // compareRank orders hosts by hash, so that the relays of a zone are spread
