--- a/node/node.go
+++ b/node/node.go
@@ -66,6 +66,7 @@
 // listeners are the node's open ports.
 type listeners struct {
 	callers, peers, operators net.Listener
+	probes                    net.PacketConn
 }
 
 // New opens the node's ports and puts its parts together.
@@ -93,12 +94,15 @@
 		State:       mesh.Alive,
 		PeerAddress: n.listeners.peers.Addr().String(),
 	}
-	return n, n.registerControllers()
+	n.self.Life = n.self.Incarnation
+	n.self.ProbeAddress = n.listeners.probes.LocalAddr().String()
+	n.registerControllers()
+	return n, nil
 }
 
 // Addresses are the ports that a node listens on.
 type Addresses struct {
-	Callers, Peers, Operators string
+	Callers, Peers, Operators, Probes string
 }
 
 // Addresses returns the node's ports.
@@ -107,6 +111,7 @@
 		Callers:   n.listeners.callers.Addr().String(),
 		Peers:     n.listeners.peers.Addr().String(),
 		Operators: n.listeners.operators.Addr().String(),
+		Probes:    n.listeners.probes.LocalAddr().String(),
 	}
 }
 
@@ -118,17 +123,20 @@
 	if n.listeners.peers, err = n.options.Network.Listen(l.Peers); err != nil {
 		return eris.Wrap(err, "listen for peers")
 	}
-	n.listeners.operators, err = n.options.Network.Listen(l.Operators)
-	return eris.Wrap(err, "listen for operators")
+	if n.listeners.operators, err = n.options.Network.Listen(l.Operators); err != nil {
+		return eris.Wrap(err, "listen for operators")
+	}
+	n.listeners.probes, err = n.options.Network.ListenPacket(l.Probes)
+	return eris.Wrap(err, "listen for probes")
 }
 
 // registerControllers puts the controllers of each area on the pool.
-func (n *Node) registerControllers() error {
+func (n *Node) registerControllers() {
 	n.registerConfig()
 	n.registerTraffic()
 	n.registerKeys()
 	n.registerObserve()
-	return n.registerFleet()
+	n.registerFleet()
 }
 
 // Run serves until ctx ends, then lets what is under way finish.
@@ -136,6 +144,8 @@
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	n.registerIO(work)
+	front := n.probeFront()
+	front.RegisterSender(n.ioPool)
 	n.registerKeyIO(work)
 	servers, err := n.servers()
 	if err != nil {
@@ -146,6 +156,7 @@
 	defer stopWork()
 	group.Go(func() { n.pool.Run(work) })
 	group.Go(func() { n.ioPool.Run(work) })
+	group.Go(func() { n.receiveProbes(work, front) })
 	group.Go(func() { n.keyPool.Run(work) })
 	for _, s := range servers {
 		group.Go(func() { s.run() })
--- a/tables/order.go
+++ b/tables/order.go
@@ -32,6 +32,15 @@
 
 	// Fleet: 200 to 299 membership, 300 to 399 where requests can go.
 	rankMembers   blackboard.Rank = 200
+	rankPeers     blackboard.Rank = 210
+	rankZones     blackboard.Rank = 220
+	rankSelf      blackboard.Rank = 230
+	rankProber    blackboard.Rank = 240
+	rankProbes    blackboard.Rank = 245
+	rankNews      blackboard.Rank = 250
+	rankZoneNews  blackboard.Rank = 260
+	rankContacts  blackboard.Rank = 270
+	rankMeeting   blackboard.Rank = 280
 	rankEndpoints blackboard.Rank = 300
 	rankLoads     blackboard.Rank = 310
 	rankInFlight  blackboard.Rank = 320
@@ -51,13 +60,16 @@
 	rankKeyOperations blackboard.Rank = 650
 
 	// Outboxes and inboxes: 900 to 979.
-	rankPositions   blackboard.Rank = 900
-	rankLogReads    blackboard.Rank = 910
-	rankLogBatches  blackboard.Rank = 920
-	rankAppends     blackboard.Rank = 930
-	rankAppendsDone blackboard.Rank = 940
-	rankKeySends    blackboard.Rank = 960
-	rankKeyReplies  blackboard.Rank = 970
+	rankPositions    blackboard.Rank = 900
+	rankLogReads     blackboard.Rank = 910
+	rankLogBatches   blackboard.Rank = 920
+	rankAppends      blackboard.Rank = 930
+	rankAppendsDone  blackboard.Rank = 940
+	rankMessageCount blackboard.Rank = 942
+	rankMessagesOut  blackboard.Rank = 944
+	rankMessagesIn   blackboard.Rank = 946
+	rankKeySends     blackboard.Rank = 960
+	rankKeyReplies   blackboard.Rank = 970
 
 	// The same, of distribution: 950 to 969.
 	rankAsks          blackboard.Rank = 950
@@ -80,6 +92,7 @@
 	Traffic
 	Keys
 	Platform
+	Messages
 	Journal
 }
 
@@ -93,6 +106,7 @@
 		Traffic:  newTraffic(b),
 		Keys:     newKeys(b),
 		Platform: newPlatform(b),
+		Messages: newMessages(b),
 		Journal:  newJournal(b),
 	}
 }
