A reader that cannot ask where the log ends waits before it asks again

Cause: with the platform down, deleting the failed answer from the inbox woke the controller tip at once, so it asked again with no pause: a host that returned during an outage kept a worker and an I/O worker busy without end. Found by TestHostReturnsWhileThePlatformIsDown, whose virtual time stood still (52,218 calls at one instant). Ruled out: the pauses of logread, which were kept. Now the failed answer stays in the inbox until its pause is over.

--- a/controllers/follow/tip.go
+++ b/controllers/follow/tip.go
@@ -29,20 +29,28 @@
 	wake()
 }
 
+// askTip takes the answer that came, if any, and asks again where that is
+// wanted. A failed answer stays in the inbox until its pause is over: deleting
+// it would wake the controller at once.
 func askTip(tx *blackboard.Tx, t *tables.Tables, c Config, now time.Time, s platform.Stream) controller.Result {
 	if _, underWay := t.BoundsAsks.Get(tx, s); underWay {
 		return controller.Result{}
 	}
-	if result, came := t.BoundsResults.Get(tx, s); came {
-		t.BoundsResults.Delete(tx, s)
+	result, came := t.BoundsResults.Get(tx, s)
+	switch {
+	case came && result.Err != nil && result.RetryAt.IsZero():
 		feed := t.Feed.Get(tx)
-		if result.Err != nil {
-			feed.LogFailing = true
-			t.Feed.Set(tx, feed)
-			return controller.Result{After: tipRetry}
-		}
-		t.Feed.Set(tx, feed.WithTip(result.Bounds.Newest, result.Ask.At))
+		feed.LogFailing = true
+		t.Feed.Set(tx, feed)
+		result.RetryAt = now.Add(tipRetry)
+		t.BoundsResults.Put(tx, s, result)
+		return controller.Result{After: tipRetry}
+	case came && now.Before(result.RetryAt):
+		return controller.Result{After: result.RetryAt.Sub(now)}
+	case came && result.Err == nil:
+		t.Feed.Set(tx, t.Feed.Get(tx).WithTip(result.Bounds.Newest, result.Ask.At))
 	}
+	t.BoundsResults.Delete(tx, s)
 	if t.Role.Get(tx).Reader && tipWanted(tx, t, c) {
 		t.BoundsAsks.Put(tx, s, tables.BoundsAsk{At: now})
 	}
--- a/tables/spread.go
+++ b/tables/spread.go
@@ -38,6 +38,8 @@
 	Ask    BoundsAsk
 	Bounds platform.Bounds
 	Err    error
+	// RetryAt is when a failed question is put again; zero until it is set.
+	RetryAt time.Time
 }
 
 // SnapshotDuty is the state of writing snapshots into the log.
