--- a/controllers/admission/admission.go
+++ b/controllers/admission/admission.go
@@ -8,6 +8,7 @@
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/controller"
 	"github.com/marigoldshelf/marigoldshelf/decide/admit"
+	"github.com/marigoldshelf/marigoldshelf/decide/limit"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 )
 
@@ -18,7 +19,8 @@
 func Register(p *controller.Pool, t *tables.Tables) {
 	handle := controller.Register(p, "admission", func(now time.Time, _ int) (result controller.Result) {
 		t.Board.Do(func(tx *blackboard.Tx) { result = step(tx, t, now) },
-			t.Drain.Read(), t.Limits.Read(), t.Admissions.Write())
+			t.Drain.Read(), t.Limits.Read(), t.Capacity.Write(), t.Admissions.Write(),
+			t.Times.Write(), t.Occupancy.Write())
 		return result
 	})
 	t.Admissions.Watch(func(string) { handle.Add(theKey) })
@@ -26,33 +28,85 @@
 	t.Drain.Watch(func() { handle.Add(theKey) })
 }
 
-// step drops the finished requests, lets the decision change the others, and
-// comes back at the earliest deadline of those that wait.
+// step drops the finished requests and learns from them, lets the decision
+// change the others, and comes back when time alone changes something.
 func step(tx *blackboard.Tx, t *tables.Tables, now time.Time) controller.Result {
-	var present []admit.Request
-	t.Admissions.Each(tx, func(id string, r admit.Request) bool {
-		if r.State == admit.Finished {
-			t.Admissions.Delete(tx, id)
-			return true
-		}
-		present = append(present, r)
-		return true
-	})
+	present := dropFinished(tx, t, now)
 	limits := t.Limits.Get(tx)
+	capacity, grows := t.Capacity.Get(tx).Grow(now, limits.Slots)
+	if capacity != t.Capacity.Get(tx) {
+		t.Capacity.Set(tx, capacity)
+	}
+	limits.Slots = capacity.Slots
 	limits.Draining = t.Drain.Get(tx).Draining
+	limits.Service = t.Times.Get(tx)
 	for _, r := range admit.Decide(now, limits, present) {
 		t.Admissions.Put(tx, r.ID, r)
+		replace(present, r)
+	}
+	if load := admit.Occupancy(limits.Slots, present); load != t.Occupancy.Get(tx) {
+		t.Occupancy.Set(tx, load)
 	}
-	return controller.Result{After: untilNextDeadline(tx, t, now)}
+	return controller.Result{After: next(now, grows, present)}
 }
 
-func untilNextDeadline(tx *blackboard.Tx, t *tables.Tables, now time.Time) (after time.Duration) {
-	t.Admissions.Each(tx, func(_ string, r admit.Request) bool {
-		left := max(r.Deadline.Sub(now), time.Millisecond)
-		if r.State == admit.Waiting && (after == 0 || left < after) {
-			after = left
+func dropFinished(tx *blackboard.Tx, t *tables.Tables, now time.Time) (present []admit.Request) {
+	times := t.Times.Get(tx)
+	capacity := t.Capacity.Get(tx)
+	t.Admissions.Each(tx, func(id string, r admit.Request) bool {
+		if r.State != admit.Finished {
+			present = append(present, r)
+			return true
+		}
+		t.Admissions.Delete(tx, id)
+		if r.Shed {
+			capacity = capacity.Cut(now, t.Limits.Get(tx).Slots)
+		} else if r.Whole {
+			times = times.Observe(r.Class, now.Sub(r.Granted))
 		}
 		return true
 	})
+	if times != t.Times.Get(tx) {
+		t.Times.Set(tx, times)
+	}
+	if capacity != t.Capacity.Get(tx) {
+		t.Capacity.Set(tx, capacity)
+	}
+	return present
+}
+
+func replace(rows []admit.Request, by admit.Request) {
+	for i := range rows {
+		if rows[i].ID == by.ID {
+			rows[i] = by
+		}
+	}
+}
+
+// next is the time until a waiting request's deadline or the next slot; zero
+// when there is neither.
+func next(now, grows time.Time, rows []admit.Request) (after time.Duration) {
+	earlier := func(due time.Time) {
+		if left := max(due.Sub(now), time.Millisecond); after == 0 || left < after {
+			after = left
+		}
+	}
+	if !grows.IsZero() {
+		earlier(grows)
+	}
+	for _, r := range rows {
+		if r.State == admit.Waiting {
+			earlier(r.Deadline)
+		}
+	}
 	return after
 }
+
+// Start puts the limits of a backend server that begins cold.
+func Start(t *tables.Tables, now time.Time, limits admit.Limits) {
+	t.Board.Do(func(tx *blackboard.Tx) {
+		t.Limits.Set(tx, limits)
+		t.Capacity.Set(tx, limit.Start(now, limits.Slots))
+		t.Occupancy.Set(tx, admit.Occupancy(limit.Start(now, limits.Slots).Slots, nil))
+	}, t.Limits.Write(), t.Capacity.Write(), t.Occupancy.Write())
+}
--- a/controllers/calls/calls.go
+++ b/controllers/calls/calls.go
@@ -16,8 +16,9 @@
 
 // Config sets the controller up.
 type Config struct {
-	// Zone is the node's own zone.
-	Zone mesh.Zone
+	// Zone and Region are the node's own.
+	Zone   mesh.Zone
+	Region mesh.Region
 	// Random is the source of draws. It is used only under the write lock of
 	// the table Calls.
 	Random *rand.Rand
@@ -35,63 +36,142 @@
 	config Config
 }
 
-func (r reconciler) reconcile(now time.Time, id string) controller.Result {
+func (r reconciler) reconcile(now time.Time, id string) (result controller.Result) {
 	t := r.tables
-	t.Board.Do(func(tx *blackboard.Tx) { r.step(tx, now, id) },
-		t.Routes.Read(), t.Endpoints.Read(), t.Loads.Read(), t.InFlight.Write(), t.Calls.Write())
-	return controller.Result{}
+	t.Board.Do(func(tx *blackboard.Tx) { result = r.step(tx, now, id) },
+		t.Routes.Read(), t.Endpoints.Read(), t.Reports.Write(), t.InFlight.Write(), t.Services.Write(),
+		t.Calls.Write(), t.Hedges.Write())
+	return result
 }
 
-func (r reconciler) step(tx *blackboard.Tx, now time.Time, id string) {
+// step counts in what came of the attempts, decides what follows, and comes
+// back when the call wants to be decided by the time alone.
+func (r reconciler) step(tx *blackboard.Tx, now time.Time, id string) controller.Result {
 	c, found := r.tables.Calls.Get(tx, id)
 	if !found {
-		return
+		return controller.Result{}
 	}
-	next := r.decide(tx, now, c)
-	if next.Step.Number == c.Step.Number {
-		return
+	if c.Ended {
+		r.settle(tx, now, c)
+		r.tables.Calls.Delete(tx, id)
+		r.tables.Hedges.Delete(tx, id)
+		return controller.Result{}
+	}
+	next := r.decide(tx, now, r.settle(tx, now, c))
+	r.join(tx, now, id, next, len(c.Attempts))
+	next = r.settle(tx, now, next)
+	if moved(c, next) {
+		r.tables.Calls.Put(tx, id, next)
 	}
-	r.countInFlight(tx, c, -1)
-	r.countInFlight(tx, next, 1)
-	r.tables.Calls.Put(tx, id, next)
+	wake := next.Wake()
+	if wake.IsZero() {
+		return controller.Result{}
+	}
+	return controller.Result{After: max(wake.Sub(now), time.Microsecond)}
 }
 
 func (r reconciler) decide(tx *blackboard.Tx, now time.Time, c call.Call) call.Call {
+	var service call.Service
+	var name mesh.ServiceName
 	world := call.World{
 		Routes:     r.tables.Routes.Get(tx),
 		Zone:       r.config.Zone,
+		Region:     r.config.Region,
 		Random:     r.config.Random,
+		Pick:       choose.Pick,
 		Candidates: func(s mesh.ServiceName) []choose.Candidate { return r.candidates(tx, s) },
+		Service: func(s mesh.ServiceName) *call.Service {
+			if name != s {
+				name = s
+				service, _ = r.tables.Services.Get(tx, s)
+			}
+			return &service
+		},
 	}
+	next := c
 	if c.Step.Number == 0 {
-		return call.Begin(now, c.Request, world)
+		next = call.Begin(now, c.Request, world)
+	} else {
+		next = call.Continue(now, c, world)
+	}
+	if name != "" {
+		r.tables.Services.Put(tx, name, service)
 	}
-	return call.Continue(now, c, world)
+	return next
 }
 
 func (r reconciler) candidates(tx *blackboard.Tx, s mesh.ServiceName) []choose.Candidate {
 	members, _ := r.tables.Endpoints.Get(tx, s)
 	candidates := make([]choose.Candidate, len(members))
 	for i, m := range members {
-		load, _ := r.tables.Loads.Get(tx, m.Host)
+		report, _ := r.tables.Reports.Get(tx, m.Host)
 		inFlight, _ := r.tables.InFlight.Get(tx, m.Host)
 		candidates[i] = choose.Candidate{
-			Host: m.Host, Zone: m.Zone, Address: m.PeerAddress, Load: load, InFlight: inFlight,
+			Host: m.Host, Zone: m.Zone, Region: m.Region, Address: m.PeerAddress,
+			Incarnation: m.Incarnation, Report: report.For(m.Incarnation), InFlight: inFlight,
 		}
 	}
 	return candidates
 }
 
-// countInFlight adds delta for the attempt that a call has under way, if any.
-func (r reconciler) countInFlight(tx *blackboard.Tx, c call.Call, delta int) {
-	if c.Step.Kind != call.Send {
-		return
+// join counts the attempts from index first on as under way.
+func (r reconciler) join(tx *blackboard.Tx, now time.Time, id string, c call.Call, first int) {
+	for i, a := range c.Attempts[min(first, len(c.Attempts)):] {
+		host := a.Target.Host
+		count, _ := r.tables.InFlight.Get(tx, host)
+		r.tables.InFlight.Put(tx, host, count.Joined(now))
+		if a.Hedge {
+			r.tables.Hedges.Put(tx, id, first+i)
+		}
+	}
+}
+
+// settle counts in the outcomes that were not counted yet.
+func (r reconciler) settle(tx *blackboard.Tx, now time.Time, c call.Call) call.Call {
+	if !c.Unsettled() {
+		return c
 	}
-	host := c.Step.Target.Host
-	count, _ := r.tables.InFlight.Get(tx, host)
-	if count+delta <= 0 {
-		r.tables.InFlight.Delete(tx, host)
+	service, _ := r.tables.Services.Get(tx, c.Rule.Service)
+	c = call.Settle(now, c, hosts{tx, r.tables, now}, &service)
+	r.tables.Services.Put(tx, c.Rule.Service, service)
+	return c
+}
+
+// moved reports whether the row has to be written.
+func moved(from, to call.Call) bool {
+	if from.Step.Number != to.Step.Number || !from.RetryAt.Equal(to.RetryAt) || !from.HedgeAt.Equal(to.HedgeAt) {
+		return true
+	}
+	for i := range from.Attempts {
+		if from.Attempts[i].Settled != to.Attempts[i].Settled {
+			return true
+		}
+	}
+	return false
+}
+
+// hosts implements call.Hosts over the tables.
+type hosts struct {
+	tx     *blackboard.Tx
+	tables *tables.Tables
+	now    time.Time
+}
+
+// Report returns what is known of a host.
+func (h hosts) Report(id mesh.HostID) choose.Report {
+	report, _ := h.tables.Reports.Get(h.tx, id)
+	return report
+}
+
+// SetReport notes what is known of a host.
+func (h hosts) SetReport(id mesh.HostID, r choose.Report) { h.tables.Reports.Put(h.tx, id, r) }
+
+// Leave counts one request less under way at a host.
+func (h hosts) Leave(id mesh.HostID) {
+	count, _ := h.tables.InFlight.Get(h.tx, id)
+	if count = count.Left(h.now); count.Count == 0 {
+		h.tables.InFlight.Delete(h.tx, id)
 		return
 	}
-	r.tables.InFlight.Put(tx, host, count+delta)
+	h.tables.InFlight.Put(h.tx, id, count)
 }
--- a/decide/admit/admit.go
+++ b/decide/admit/admit.go
@@ -1,6 +1,10 @@
 // Package admit decides which requests enter the node's own backend server. It
 // is the only admission point of that server, so a refusal from it is a fact:
 // the request did not run.
+//
+// Short work (bookings, lookups) may take every slot. Uploads and background
+// work have a share of the slots that they cannot exceed together, so they
+// never hold every slot, and a booking never waits for one of them to end.
 package admit
 
 import (
@@ -31,6 +35,13 @@
 	Arrived  time.Time
 	Deadline time.Time
 	State    State
+	// Granted is when it got its slot; zero before.
+	Granted time.Time
+	// Whole is true on a finished request that was answered whole.
+	Whole bool
+	// Shed is true on a finished request that the backend server refused by
+	// itself.
+	Shed bool
 	// Reason is why it was refused.
 	Reason verdict.Reason
 	// RetryAfter is when a refused request may come back, from now.
@@ -45,56 +56,150 @@
 	Queue int
 	// Draining is true once it takes no new work.
 	Draining bool
+	// Service is how long requests have taken lately.
+	Service ServiceTimes
 }
 
 // Decide returns the requests whose state changes now, in the order of the
-// changes: waiting ones are granted a slot, refused, or left to wait.
+// changes: waiting ones are granted a slot, refused, or left to wait. A request
+// that cannot end before its deadline is refused at once.
 func Decide(now time.Time, limits Limits, requests []Request) []Request {
-	busy := 0
-	var waiting []Request
+	d := decision{now: now, limits: limits}
+	waiting := make([]Request, 0, len(requests))
 	for _, r := range requests {
 		switch r.State {
 		case Granted:
-			busy++
+			d.busy[r.Class.Index()]++
 		case Waiting:
 			waiting = append(waiting, r)
 		}
 	}
-	slices.SortStableFunc(waiting, byUrgency)
-	var changed []Request
-	queued := 0
+	if len(waiting) > 1 {
+		slices.SortFunc(waiting, byUrgency)
+	}
 	for _, r := range waiting {
-		switch {
-		case limits.Draining:
-			changed = append(changed, refuse(r, verdict.Draining))
-		case !now.Before(r.Deadline):
-			changed = append(changed, refuse(r, verdict.DeadlineTooShort))
-		case busy < limits.Slots:
-			busy++
-			r.State = Granted
-			changed = append(changed, r)
-		case queued >= limits.Queue:
-			changed = append(changed, refuse(r, verdict.QueueFull))
-		default:
-			queued++
+		if next := d.next(r); next.State != Waiting {
+			d.changed = append(d.changed, next)
 		}
 	}
-	return changed
+	return d.changed
+}
+
+// decision is the state of one pass over the waiting requests.
+type decision struct {
+	now     time.Time
+	limits  Limits
+	busy    [mesh.NumClasses]int
+	queued  int
+	ahead   time.Duration // learned service time of those that wait before
+	changed []Request
+}
+
+func (d *decision) next(r Request) Request {
+	own := d.limits.Service.Fast(r.Class)
+	switch {
+	case d.limits.Draining:
+		return refuse(r, verdict.Draining, 0)
+	case !d.now.Add(own).Before(r.Deadline):
+		return refuse(r, verdict.DeadlineTooShort, 0)
+	case d.hasSlot(r.Class):
+		d.busy[r.Class.Index()]++
+		r.State = Granted
+		r.Granted = d.now
+		return r
+	case d.queued >= queueShare(d.limits.Queue, r.Class):
+		return refuse(r, d.fullReason(), d.wait(r.Class))
+	case !d.now.Add(d.wait(r.Class) + own).Before(r.Deadline):
+		return refuse(r, verdict.DeadlineTooShort, d.wait(r.Class))
+	}
+	d.queued++
+	d.ahead += d.limits.Service.Mean(r.Class)
+	return r
+}
+
+func (d *decision) fullReason() verdict.Reason {
+	if d.queued >= d.limits.Queue {
+		return verdict.QueueFull
+	}
+	return verdict.Shed
+}
+
+// hasSlot reports whether a slot is free that the class may take.
+func (d *decision) hasSlot(c mesh.Class) bool {
+	total := 0
+	for _, n := range d.busy {
+		total += n
+	}
+	if total >= d.limits.Slots {
+		return false
+	}
+	upload, background := d.busy[mesh.Upload.Index()], d.busy[mesh.Background.Index()]
+	switch c {
+	case mesh.Upload:
+		return upload+background < longShare(d.limits.Slots)
+	case mesh.Background:
+		return background < backgroundShare(d.limits.Slots) && upload+background < longShare(d.limits.Slots)
+	}
+	return true
 }
 
-func refuse(r Request, reason verdict.Reason) Request {
+// wait estimates how long a request of the class would wait for its slot.
+func (d *decision) wait(c mesh.Class) time.Duration {
+	slots := d.limits.Slots
+	if c == mesh.Upload || c == mesh.Background {
+		slots = longShare(slots)
+	}
+	return (d.ahead + d.limits.Service.Mean(c)) / time.Duration(max(slots, 1))
+}
+
+// longShare is the number of slots that uploads and background work may hold
+// together: two thirds, and never all of several.
+func longShare(slots int) int { return max(slots*2/3, 1) }
+
+// backgroundShare is the number of slots that background work may hold.
+func backgroundShare(slots int) int { return max(slots/4, 1) }
+
+// queueShare is the part of the queue's length up to which a class may join:
+// background work is turned away first, then uploads, then lookups.
+func queueShare(queue int, c mesh.Class) int {
+	switch c {
+	case mesh.Booking:
+		return queue
+	case mesh.Lookup:
+		return queue * 3 / 4
+	case mesh.Upload:
+		return queue / 2
+	}
+	return queue / 4
+}
+
+func refuse(r Request, reason verdict.Reason, retryAfter time.Duration) Request {
 	r.State = Refused
 	r.Reason = reason
+	r.RetryAfter = retryAfter
 	return r
 }
 
 // byUrgency orders by class, then deadline, then arrival.
 func byUrgency(a, b Request) int {
-	classes := mesh.Classes()
 	return cmp.Or(
-		cmp.Compare(slices.Index(classes, a.Class), slices.Index(classes, b.Class)),
+		cmp.Compare(a.Class.Index(), b.Class.Index()),
 		a.Deadline.Compare(b.Deadline),
 		a.Arrived.Compare(b.Arrived),
 		cmp.Compare(a.ID, b.ID),
 	)
 }
+
+// Occupancy counts requests as the load that answers report.
+func Occupancy(slots int, requests []Request) mesh.Load {
+	load := mesh.Load{Slots: slots}
+	for _, r := range requests {
+		switch r.State {
+		case Granted:
+			load.Busy++
+		case Waiting:
+			load.Queued++
+		}
+	}
+	return load
+}
--- a/decide/call/call.go
+++ b/decide/call/call.go
@@ -1,6 +1,7 @@
-// Package call decides the next step of one caller's request at the node that
-// took it: where to send it, whether to try again, or what to answer. It holds
-// no bytes: the HTTP side moves them and reports what came of each attempt.
+// Package call decides the steps of one caller's request at the node that took
+// it: where to send it, whether to send it again or to a second backend server
+// at once, and what to answer. It holds no bytes: the HTTP side moves them and
+// reports what came of each attempt.
 package call
 
 import (
@@ -8,11 +9,16 @@
 	"time"
 
 	"github.com/marigoldshelf/marigoldshelf/decide/choose"
+	"github.com/marigoldshelf/marigoldshelf/decide/hedge"
+	"github.com/marigoldshelf/marigoldshelf/decide/retry"
 	"github.com/marigoldshelf/marigoldshelf/decide/route"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/verdict"
 )
 
+// Grace is how long after the deadline an attempt under way is waited for.
+const Grace = 50 * time.Millisecond
+
 // Request is what the decision needs to know of a caller's request.
 type Request struct {
 	ID       string
@@ -21,30 +27,38 @@
 	Arrived  time.Time
 	// Deadline is the caller's own bound; zero for none.
 	Deadline time.Time
+	// Whole is true when the whole body is at hand, so that the request can
+	// be sent to two backend servers at once.
+	Whole bool
 }
 
-// StepKind is what the HTTP side has to do next.
+// StepKind is what the HTTP side has to do next, beside the attempts.
 type StepKind uint8
 
 // The kinds of step.
 const (
-	// Wait: nothing yet.
+	// Wait: make the attempts that are listed, and wait.
 	Wait StepKind = iota
-	// Send: forward the request to Step.Target.
-	Send
-	// Answer: pass on the answer of the last attempt.
+	// Answer: pass on the answer of Step.Attempt; end the others.
 	Answer
-	// Refuse: answer with Step.Refusal.
+	// Refuse: answer with Step.Refusal; end every attempt.
 	Refuse
 )
 
 // Step is one instruction to the HTTP side. Each step of a call has a higher
 // number than the one before.
 type Step struct {
-	Number  int
-	Kind    StepKind
-	Target  choose.Candidate
+	Number int
+	Kind   StepKind
+	// Attempt is the index of the attempt that is answered with.
+	Attempt int
 	Refusal *verdict.Error
+	// RetryAfter is when the caller may come back, from now; zero for no
+	// advice.
+	RetryAfter time.Duration
+	// Exhausted is true when the request was retried, or may not be: nobody
+	// upstream should try it again for the same failure.
+	Exhausted bool
 }
 
 // Outcome is what came of one attempt.
@@ -55,12 +69,26 @@
 	// Replayable is true while the request's body can be sent again from its
 	// start.
 	Replayable bool
+	// Exhausted is true when the failure was already retried further down.
+	Exhausted bool
+	// Took is the time from sending to the head of the answer.
+	Took time.Duration
+	// Load is what the receiving node reported; no slots when it did not.
+	Load mesh.Load
+	// RetryAfter is what it advised.
+	RetryAfter time.Duration
 }
 
 // Attempt is one sending of the request.
 type Attempt struct {
-	Host    mesh.HostID
-	Outcome *Outcome // nil while it is under way
+	Target choose.Candidate
+	Sent   time.Time
+	Hedge  bool
+	// Outcome is nil while the attempt is under way.
+	Outcome *Outcome
+	// Settled is true once the outcome was counted into what is known of the
+	// host and the service.
+	Settled bool
 }
 
 // Call is the state of one request. It is a value.
@@ -71,17 +99,35 @@
 	Deadline time.Time
 	Attempts []Attempt
 	Step     Step
+	// RetryAt is when the next attempt is due; zero when none is planned.
+	RetryAt time.Time
+	// HedgeAt is when a second attempt is due; zero for never.
+	HedgeAt time.Time
+	// Ended is set by the HTTP side when it is done with the request.
+	Ended bool
+}
+
+// Service is what this node has learned of one service. It is a value.
+type Service struct {
+	Retries retry.Budget
+	Hedges  hedge.State
 }
 
-// World is what the decision may look at.
+// World is what the decision may look at, and the service's state, which it
+// moves on.
 type World struct {
 	// Routes is the configuration in force; nil for none.
 	Routes *route.Table
-	// Zone is the node's own zone.
-	Zone mesh.Zone
+	// Zone and Region are the node's own.
+	Zone   mesh.Zone
+	Region mesh.Region
 	// Candidates returns the backend servers of a service that may get work.
 	Candidates func(mesh.ServiceName) []choose.Candidate
-	Random     *rand.Rand
+	// Service returns the state of a service, to be modified in place.
+	Service func(mesh.ServiceName) *Service
+	// Pick chooses among the candidates.
+	Pick   choose.Policy
+	Random *rand.Rand
 }
 
 // Begin routes a new request and takes its first step. The request keeps the
@@ -101,47 +147,61 @@
 	if !r.Deadline.IsZero() && r.Deadline.Before(c.Deadline) {
 		c.Deadline = r.Deadline
 	}
-	return c.send(now, w)
-}
-
-// Continue takes the step that follows from the outcome of the last attempt.
-func Continue(now time.Time, c Call, w World) Call {
-	if len(c.Attempts) == 0 {
-		return c
+	if !now.Before(c.Deadline) {
+		return c.refuse(verdict.NotRun, verdict.DeadlineExceeded)
 	}
-	last := c.Attempts[len(c.Attempts)-1].Outcome
-	switch {
-	case last == nil || c.Step.Kind != Send:
-		return c
-	case last.Reason == "":
-		return c.next(Step{Kind: Answer})
-	case !c.mayRetry(now, *last):
-		return c.refuse(last.Verdict, last.Reason)
+	service := w.Service(rule.Service)
+	service.Retries = service.Retries.Deposit()
+	if c.mayHedge() {
+		service.Hedges = service.Hedges.Deposit()
+		if delay, known := service.Hedges.Delay(); known {
+			c.HedgeAt = now.Add(delay)
+		}
 	}
-	return c.send(now, w)
+	return c.sendFirst(now, w)
 }
 
-// mayRetry reports whether another attempt is safe, allowed and in time.
-func (c Call) mayRetry(now time.Time, last Outcome) bool {
-	safe := last.Verdict == verdict.NotRun || c.Rule.Class.Idempotent()
-	return safe && last.Replayable && len(c.Attempts) <= c.Rule.Retries && now.Before(c.Deadline)
+func (c Call) mayHedge() bool {
+	return c.Rule.Hedge && c.Rule.Class == mesh.Lookup && c.Request.Whole
 }
 
-func (c Call) send(now time.Time, w World) Call {
-	if !now.Before(c.Deadline) {
-		return c.refuse(verdict.NotRun, verdict.DeadlineExceeded)
+// sendFirst makes the first attempt. While every host has asked not to be sent
+// the class, the request is refused here, which costs nobody anything.
+func (c Call) sendFirst(now time.Time, w World) Call {
+	candidates := w.Candidates(c.Rule.Service)
+	open := make([]choose.Candidate, 0, len(candidates))
+	for _, candidate := range candidates {
+		if !candidate.Report.Closed(now, c.Rule.Class) {
+			open = append(open, candidate)
+		}
 	}
-	tried := make([]mesh.HostID, len(c.Attempts))
-	for i, a := range c.Attempts {
-		tried[i] = a.Host
+	if len(open) == 0 && len(candidates) > 0 {
+		c = c.refuse(verdict.NotRun, verdict.Shed)
+		c.Step.RetryAfter = advice
+		return c
 	}
-	query := choose.Query{Zone: w.Zone, Tried: tried, Random: w.Random}
-	target, found := choose.Pick(query, w.Candidates(c.Rule.Service))
+	target, found := w.Pick(c.query(now, w), open)
 	if !found {
 		return c.refuse(verdict.NotRun, verdict.NoBackend)
 	}
-	c.Attempts = append(c.Attempts[:len(c.Attempts):len(c.Attempts)], Attempt{Host: target.Host})
-	return c.next(Step{Kind: Send, Target: target})
+	return c.attempt(Attempt{Target: target, Sent: now})
+}
+
+func (c Call) query(now time.Time, w World) choose.Query {
+	tried := make([]mesh.HostID, len(c.Attempts))
+	for i, a := range c.Attempts {
+		tried[i] = a.Target.Host
+	}
+	return choose.Query{
+		Now: now, Class: c.Rule.Class, Zone: w.Zone, Region: w.Region, Tried: tried, Random: w.Random,
+	}
+}
+
+// attempt returns the call with one more attempt under way.
+func (c Call) attempt(a Attempt) Call {
+	c.Attempts = append(c.Attempts[:len(c.Attempts):len(c.Attempts)], a)
+	c.RetryAt = time.Time{}
+	return c.next(Step{Kind: Wait})
 }
 
 func (c Call) refuse(v verdict.Verdict, reason verdict.Reason) Call {
@@ -154,10 +214,28 @@
 	return c
 }
 
-// WithOutcome returns the call with the outcome of its last attempt set.
-func (c Call) WithOutcome(o Outcome) Call {
+// Final reports whether the call has its answer or refusal.
+func (c Call) Final() bool { return c.Step.Kind != Wait }
+
+// WithOutcome returns the call with the outcome of one attempt set.
+func (c Call) WithOutcome(attempt int, o Outcome) Call {
 	attempts := append([]Attempt(nil), c.Attempts...)
-	attempts[len(attempts)-1].Outcome = &o
+	attempts[attempt].Outcome = &o
 	c.Attempts = attempts
 	return c
 }
+
+// Wake returns when the call wants to be decided again without an outcome;
+// zero for never.
+func (c Call) Wake() time.Time {
+	if c.Final() || len(c.Attempts) == 0 {
+		return time.Time{}
+	}
+	wake := c.limit()
+	for _, due := range []time.Time{c.RetryAt, c.HedgeAt} {
+		if !due.IsZero() && due.Before(wake) {
+			wake = due
+		}
+	}
+	return wake
+}
--- /dev/null
+++ b/decide/call/continue.go
@@ -0,0 +1,182 @@
+package call
+
+import (
+	"time"
+
+	"github.com/marigoldshelf/marigoldshelf/decide/retry"
+	"github.com/marigoldshelf/marigoldshelf/mesh"
+	"github.com/marigoldshelf/marigoldshelf/verdict"
+)
+
+// advice is when a caller may come back after a refusal for load, where no
+// node said better.
+const advice = 250 * time.Millisecond
+
+// Continue takes the step that follows from the outcomes of the attempts and
+// from the time; the same call comes back when there is nothing to do.
+func Continue(now time.Time, c Call, w World) Call {
+	if c.Final() || len(c.Attempts) == 0 {
+		return c
+	}
+	if winner, found := c.answered(); found {
+		return c.next(Step{Kind: Answer, Attempt: winner})
+	}
+	if !now.Before(c.limit()) {
+		return c.refuseAfter(verdict.DeadlineExceeded)
+	}
+	if c.underWay() {
+		return c.hedge(now, w)
+	}
+	return c.retry(now, w)
+}
+
+// limit is when the call is refused whatever comes: at the deadline, and a
+// little later while an attempt is under way, so that the receiving node's own
+// word on the deadline, which knows the verdict, arrives first.
+func (c Call) limit() time.Time {
+	if c.underWay() {
+		return c.Deadline.Add(Grace)
+	}
+	return c.Deadline
+}
+
+// answered returns the first attempt that has an answer to pass on.
+func (c Call) answered() (attempt int, found bool) {
+	for i, a := range c.Attempts {
+		if a.Outcome != nil && a.Outcome.Reason == "" {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+func (c Call) underWay() bool {
+	for _, a := range c.Attempts {
+		if a.Outcome == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// hedge makes a second attempt beside the first when it is due, the budget
+// allows it, and there is another backend server.
+func (c Call) hedge(now time.Time, w World) Call {
+	if c.HedgeAt.IsZero() || now.Before(c.HedgeAt) {
+		return c
+	}
+	c.HedgeAt = time.Time{}
+	service := w.Service(c.Rule.Service)
+	left, allowed := service.Hedges.Withdraw()
+	if !allowed {
+		return c
+	}
+	target, found := w.Pick(c.query(now, w), w.Candidates(c.Rule.Service))
+	if !found || c.tried(target.Host) {
+		return c
+	}
+	service.Hedges = left
+	return c.attempt(Attempt{Target: target, Sent: now, Hedge: true})
+}
+
+// retry plans another attempt after the last one failed, makes it when it is
+// due, or refuses.
+func (c Call) retry(now time.Time, w World) Call {
+	last := *c.Attempts[len(c.Attempts)-1].Outcome
+	c.HedgeAt = time.Time{} // nothing is under way that a hedge could overtake
+	if !c.RetryAt.IsZero() {
+		if now.Before(c.RetryAt) {
+			return c
+		}
+		return c.sendAgain(now, w, last)
+	}
+	if !c.mayRetry(last) {
+		return c.refuseAfter(last.Reason)
+	}
+	if !isFree(last.Reason) {
+		service := w.Service(c.Rule.Service)
+		left, allowed := service.Retries.Withdraw()
+		if !allowed {
+			return c.refuseAfter(verdict.RetryBudget)
+		}
+		service.Retries = left
+		if delay := retry.Delay(c.retries()+1, w.Random); delay > 0 {
+			c.RetryAt = now.Add(delay)
+			return c
+		}
+	}
+	return c.sendAgain(now, w, last)
+}
+
+// isFree reports whether a refusal cost the backend server nothing and says
+// nothing of the load elsewhere, so that the next one is asked at once.
+func isFree(reason verdict.Reason) bool {
+	return reason == verdict.Draining || reason == verdict.WrongHost
+}
+
+// mayRetry reports whether another attempt is safe and allowed. It is safe
+// when no attempt can have run, or when the class may run more than once.
+func (c Call) mayRetry(last Outcome) bool {
+	safe := c.worst() == verdict.NotRun || c.Rule.Class.Idempotent()
+	return safe && last.Replayable && !last.Exhausted && c.retries() < c.Rule.Retries
+}
+
+// sendAgain makes another attempt. When there is no other backend server, one
+// that was tried may be asked again, unless it drains.
+func (c Call) sendAgain(now time.Time, w World, last Outcome) Call {
+	target, found := w.Pick(c.query(now, w), w.Candidates(c.Rule.Service))
+	if !found || isFree(last.Reason) && c.tried(target.Host) {
+		return c.refuseAfter(last.Reason)
+	}
+	return c.attempt(Attempt{Target: target, Sent: now})
+}
+
+func (c Call) retries() int {
+	count := -1
+	for _, a := range c.Attempts {
+		if !a.Hedge {
+			count++
+		}
+	}
+	return count
+}
+
+// worst is the least safe verdict of the attempts; one under way may run.
+func (c Call) worst() verdict.Verdict {
+	worst := verdict.NotRun
+	for _, a := range c.Attempts {
+		if a.Outcome == nil {
+			return verdict.MayHaveRun
+		}
+		if a.Outcome.Verdict != verdict.NotRun {
+			worst = verdict.MayHaveRun
+		}
+	}
+	return worst
+}
+
+// refuseAfter refuses a request that was tried: with the verdict of its worst
+// attempt, and the latest advice.
+func (c Call) refuseAfter(reason verdict.Reason) Call {
+	c.RetryAt = time.Time{}
+	c = c.refuse(c.worst(), reason)
+	c.Step.Exhausted = true
+	for _, a := range c.Attempts {
+		if a.Outcome != nil && a.Outcome.RetryAfter > 0 {
+			c.Step.RetryAfter = a.Outcome.RetryAfter
+		}
+	}
+	if c.Step.RetryAfter == 0 && (reason == verdict.RetryBudget || reason == verdict.Shed) {
+		c.Step.RetryAfter = advice
+	}
+	return c
+}
+
+func (c Call) tried(host mesh.HostID) bool {
+	for _, a := range c.Attempts {
+		if a.Target.Host == host {
+			return true
+		}
+	}
+	return false
+}
--- a/decide/choose/choose.go
+++ b/decide/choose/choose.go
@@ -1,54 +1,118 @@
-// Package choose picks the backend server for one attempt of a request.
+// Package choose picks the backend server for one attempt of a request: the
+// best of a few drawn at random, by what the latest answers told of their load
+// and latency. The own zone comes first, and others as its load rises.
 package choose
 
 import (
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 )
 
+const (
+	// zoneFactor is how many times the cost in the own zone another zone of
+	// the region counts, and regionFactor another region.
+	zoneFactor   = 1.5
+	regionFactor = 4
+	// silence is how many times the expected latency a host may be silent
+	// with requests under way before that counts as its latency.
+	silence = 2
+	// maxOut is the part of the hosts that may be left out for failures:
+	// one in maxOut. Past that, failures say more of this node's network.
+	maxOut = 3
+)
+
 // Candidate is a backend server that could take the request, and what is known
-// of its load.
+// of it.
 type Candidate struct {
 	Host    mesh.HostID
 	Zone    mesh.Zone
+	Region  mesh.Region
 	Address string
-	Load    mesh.Load
-	// InFlight is the number of requests that this node has under way there.
-	InFlight int
+	// Incarnation is the life of its node.
+	Incarnation mesh.Incarnation
+	Report      Report
+	// InFlight is what this node has under way there.
+	InFlight InFlight
+}
+
+// InFlight is what this node has under way at one host.
+type InFlight struct {
+	// Count is the number of requests.
+	Count int
+	// Since is when the last answer came, or the first of them was sent.
+	Since time.Time
+}
+
+// Joined returns the count with one request more.
+func (f InFlight) Joined(now time.Time) InFlight {
+	if f.Count == 0 {
+		f.Since = now
+	}
+	f.Count++
+	return f
+}
+
+// Left returns the count with one request less, after word from the host.
+func (f InFlight) Left(now time.Time) InFlight {
+	return InFlight{Count: max(f.Count-1, 0), Since: now}
 }
 
 // Query is one choice to make.
 type Query struct {
-	// Zone is the zone of the node that chooses.
-	Zone mesh.Zone
+	Now   time.Time
+	Class mesh.Class
+	// Zone and Region are those of the node that chooses.
+	Zone   mesh.Zone
+	Region mesh.Region
 	// Tried has the hosts that earlier attempts went to.
 	Tried []mesh.HostID
 	// Random is the source of the draw.
 	Random *rand.Rand
 }
 
-// Pick returns the candidate to send to, and false when there is none. Hosts
-// not tried yet come before hosts of the own zone, and those before the rest;
-// among equals it is the less loaded of two drawn at random.
+// Policy picks a candidate; false when there is none.
+type Policy func(Query, []Candidate) (Candidate, bool)
+
+// Pick is the policy in use. Hosts that were tried, that drain, or that were
+// ejected come last; a few are drawn from the rest, near ones first, and the
+// cheapest of them is taken.
 func Pick(q Query, candidates []Candidate) (Candidate, bool) {
-	pool := prefer(candidates, func(c Candidate) bool { return !slices.Contains(q.Tried, c.Host) })
-	pool = prefer(pool, func(c Candidate) bool { return c.Zone == q.Zone })
+	pool := usable(q, candidates)
 	if len(pool) == 0 {
 		return Candidate{}, false
 	}
-	first := pool[q.Random.IntN(len(pool))]
-	second := pool[q.Random.IntN(len(pool))]
-	if pressure(second) < pressure(first) {
-		return second, true
+	typical := typicalLatency(q.Class, pool)
+	var best Candidate
+	lowest := -1.0
+	for _, c := range draw(q, pool) {
+		if price := cost(q, c, typical); lowest < 0 || price < lowest {
+			best, lowest = c, price
+		}
 	}
-	return first, true
+	return best, true
+}
+
+// usable leaves out the hosts that were tried, then those that drain or were
+// ejected; each rule is passed over where nothing would be left.
+func usable(q Query, candidates []Candidate) []Candidate {
+	pool := prefer(candidates, func(c Candidate) bool { return !slices.Contains(q.Tried, c.Host) })
+	pool = prefer(pool, func(c Candidate) bool { return !q.Now.Before(c.Report.DrainingUntil) })
+	out := 0
+	return prefer(pool, func(c Candidate) bool {
+		if c.Report.out(q.Now) && out < len(pool)/maxOut+1 && len(pool) > 1 {
+			out++
+			return false
+		}
+		return true
+	})
 }
 
 // prefer returns the candidates that fit, or all of them when none does.
 func prefer(candidates []Candidate, fits func(Candidate) bool) []Candidate {
-	var chosen []Candidate
+	chosen := make([]Candidate, 0, len(candidates))
 	for _, c := range candidates {
 		if fits(c) {
 			chosen = append(chosen, c)
@@ -60,8 +124,71 @@
 	return chosen
 }
 
-// pressure is the work in the candidate's way for each of its slots.
-func pressure(c Candidate) float64 {
-	work := c.Load.Busy + c.Load.Queued + c.InFlight
-	return float64(work) / float64(max(c.Load.Slots, 1))
+// draw returns two candidates of the own zone, and two of the others.
+func draw(q Query, pool []Candidate) []Candidate {
+	drawn := make([]Candidate, 0, 4)
+	near := make([]Candidate, 0, len(pool))
+	far := make([]Candidate, 0, len(pool))
+	for _, c := range pool {
+		if c.Zone == q.Zone {
+			near = append(near, c)
+		} else {
+			far = append(far, c)
+		}
+	}
+	drawn = drawTwo(q.Random, near, drawn)
+	return drawTwo(q.Random, far, drawn)
+}
+
+// drawTwo adds two different candidates, or the only one.
+func drawTwo(random *rand.Rand, from, to []Candidate) []Candidate {
+	if len(from) < 2 {
+		return append(to, from...)
+	}
+	first := random.IntN(len(from))
+	second := random.IntN(len(from) - 1)
+	if second >= first {
+		second++
+	}
+	return append(to, from[first], from[second])
+}
+
+// cost is the time that a request can be expected to take at the candidate,
+// in nanoseconds: its latency, times how far its slots are taken.
+func cost(q Query, c Candidate, typical float64) float64 {
+	latency := c.Report.expected(q.Now, q.Class, typical)
+	if quiet := float64(q.Now.Sub(c.InFlight.Since)); c.InFlight.Count > 0 && quiet > silence*latency {
+		latency = quiet
+	}
+	price := latency * (1 + pressure(q.Now, c))
+	switch {
+	case c.Zone == q.Zone:
+		return price
+	case c.Region == q.Region:
+		return price * zoneFactor
+	}
+	return price * regionFactor
+}
+
+// pressure is the work in the way for each slot. A host that has reported
+// nothing yet counts as one slot, so that it is tried gently.
+func pressure(now time.Time, c Candidate) float64 {
+	work := max(c.Report.work(now), float64(c.InFlight.Count))
+	full := work / float64(max(c.Report.Load.Slots, 1))
+	return full + full*full
+}
+
+// typicalLatency is the median of the candidates' latencies, in nanoseconds.
+func typicalLatency(class mesh.Class, pool []Candidate) float64 {
+	known := make([]time.Duration, 0, len(pool))
+	for _, c := range pool {
+		if latency := c.Report.latency[class.Index()]; latency > 0 {
+			known = append(known, latency)
+		}
+	}
+	if len(known) == 0 {
+		return float64(time.Millisecond)
+	}
+	slices.Sort(known)
+	return float64(known[(len(known)-1)/2])
 }
--- a/decide/drain/drain.go
+++ b/decide/drain/drain.go
@@ -7,6 +7,8 @@
 type State struct {
 	// Draining is true once it takes no new work.
 	Draining bool
+	// Stopping is true once the node itself ends when nothing is under way.
+	Stopping bool
 	// Since is when the drain began.
 	Since time.Time
 }
--- a/encoding/hop/hop.go
+++ b/encoding/hop/hop.go
@@ -5,7 +5,6 @@
 package hop
 
 import (
-	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -29,6 +28,9 @@
 	headerVersion    = prefix + "Version"
 	headerLoad       = prefix + "Load"
 	headerRetryAfter = prefix + "Retry-After-Ms"
+	// headerExhausted goes up the chain of calls with a failure that was
+	// already retried next to where it happened.
+	headerExhausted = prefix + "Retries-Exhausted"
 
 	// HeaderTimeout bounds a request, in milliseconds; callers may set it.
 	HeaderTimeout = prefix + "Timeout-Ms"
@@ -113,12 +115,17 @@
 	Reason     verdict.Reason
 	Load       mesh.Load
 	RetryAfter time.Duration
+	// Exhausted is true on a failure that nobody should try again.
+	Exhausted bool
 }
 
 // Write puts the answer's headers into h.
 func (a Answer) Write(h http.Header) {
 	h.Set(HeaderVerdict, a.Verdict.String())
-	h.Set(headerLoad, fmt.Sprintf("%d/%d/%d", a.Load.Slots, a.Load.Busy, a.Load.Queued))
+	h.Set(headerLoad, formatLoad(a.Load))
+	if a.Exhausted {
+		h.Set(headerExhausted, "1")
+	}
 	if a.Reason != "" {
 		h.Set(HeaderReason, string(a.Reason))
 	}
@@ -128,16 +135,64 @@
 }
 
 // ReadAnswer reads what Write wrote. Without a verdict it is MayHaveRun.
-func ReadAnswer(h http.Header) (Answer, error) {
+func ReadAnswer(h http.Header) Answer {
 	a := Answer{
-		Verdict: verdict.Parse(h.Get(HeaderVerdict)),
-		Reason:  verdict.Reason(h.Get(HeaderReason)),
+		Verdict:   verdict.Parse(h.Get(HeaderVerdict)),
+		Reason:    verdict.Reason(h.Get(HeaderReason)),
+		Load:      parseLoad(h.Get(headerLoad)),
+		Exhausted: Exhausted(h),
 	}
 	if millis, err := strconv.ParseInt(h.Get(headerRetryAfter), 10, 64); err == nil && millis > 0 {
 		a.RetryAfter = time.Duration(millis) * time.Millisecond
 	}
-	_, err := fmt.Sscanf(h.Get(headerLoad), "%d/%d/%d", &a.Load.Slots, &a.Load.Busy, &a.Load.Queued)
-	return a, eris.Wrap(err, "hop: load")
+	return a
+}
+
+func formatLoad(l mesh.Load) string {
+	return strconv.Itoa(l.Slots) + "/" + strconv.Itoa(l.Busy) + "/" + strconv.Itoa(l.Queued)
+}
+
+// parseLoad reads what formatLoad wrote; a malformed text is no load.
+func parseLoad(text string) mesh.Load {
+	var numbers [3]int
+	parts := strings.Split(text, "/")
+	if len(parts) != len(numbers) {
+		return mesh.Load{}
+	}
+	for i, part := range parts {
+		number, err := strconv.Atoi(part)
+		if err != nil || number < 0 {
+			return mesh.Load{}
+		}
+		numbers[i] = number
+	}
+	return mesh.Load{Slots: numbers[0], Busy: numbers[1], Queued: numbers[2]}
+}
+
+// Exhausted reports whether an answer is of a failure that was already retried
+// further down. It can only make a node do less, so backend servers may pass
+// it on.
+func Exhausted(h http.Header) bool { return h.Get(headerExhausted) != "" }
+
+// CopyExhausted passes that mark on from a backend server's answer.
+func CopyExhausted(to, from http.Header) {
+	if Exhausted(from) {
+		to.Set(headerExhausted, "1")
+	}
+}
+
+// WriteRefusal puts what a caller is told about a refusal into h.
+func WriteRefusal(h http.Header, e *verdict.Error, retryAfter time.Duration, exhausted bool) {
+	h.Set(HeaderVerdict, e.Verdict.String())
+	h.Set(HeaderReason, string(e.Reason))
+	if exhausted {
+		h.Set(headerExhausted, "1")
+	}
+	if retryAfter > 0 {
+		seconds := (retryAfter + time.Second - 1) / time.Second
+		h.Set("Retry-After", strconv.Itoa(int(seconds)))
+		h.Set(headerRetryAfter, formatMillis(retryAfter))
+	}
 }
 
 // Strip removes the nodes' own headers from h.
--- a/encoding/hop/transport.go
+++ b/encoding/hop/transport.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -13,10 +14,11 @@
 )
 
 const (
-	dialTimeout  = time.Second
-	idleTimeout  = time.Minute
-	copyBytes    = 32 << 10
-	continueWait = time.Hour // longer than any deadline: the body waits for admission
+	dialTimeout    = time.Second
+	idleTimeout    = time.Minute
+	continueWait   = time.Hour // longer than any deadline: the body waits for admission
+	maxAnswerBytes = 64 << 10  // of an answer's headers
+	idlePerHost    = 64
 )
 
 // NewTransport returns the transport of one hop: HTTP/1.1 with one request on
@@ -26,51 +28,135 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	idle := perHost
 	if idle == 0 {
-		idle = 64
+		idle = idlePerHost
 	}
 	return &http.Transport{
-		DialContext:           dialer.DialContext,
-		MaxConnsPerHost:       perHost,
-		MaxIdleConnsPerHost:   idle,
-		IdleConnTimeout:       idleTimeout,
-		ExpectContinueTimeout: continueWait,
-		DisableCompression:    true,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			plain, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &conn{Conn: plain}, nil
+		},
+		MaxConnsPerHost:        perHost,
+		MaxIdleConnsPerHost:    idle,
+		IdleConnTimeout:        idleTimeout,
+		ExpectContinueTimeout:  continueWait,
+		MaxResponseHeaderBytes: maxAnswerBytes,
+		DisableCompression:     true,
+	}
+}
+
+// conn counts what is written, so that a failed request is known not to have
+// left this host when nothing was.
+type conn struct {
+	net.Conn
+
+	mu      sync.Mutex
+	written int64
+	sealed  bool
+}
+
+// Write implements net.Conn. After seal it writes nothing.
+func (c *conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sealed {
+		return 0, net.ErrClosed
 	}
+	n, err := c.Conn.Write(p)
+	c.written += int64(n)
+	return n, err
+}
+
+func (c *conn) count() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.written
+}
+
+// seal ends the connection and returns how much was ever written.
+func (c *conn) seal() int64 {
+	// Closing first ends a write that blocks while it holds the lock.
+	_ = c.Conn.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	return c.written
+}
+
+// use is what one request has used of its connections.
+type use struct {
+	mu    sync.Mutex
+	conn  *conn
+	start int64
+	wrote bool // on an earlier connection
 }
 
-// TransportFailure says what an error of a transport means for the request: it
-// did not run when no connection was made, and may have otherwise.
-func TransportFailure(err error) *verdict.Error {
-	var op *net.OpError
-	if eris.As(err, &op) && op.Op == "dial" {
-		return verdict.New(verdict.NotRun, verdict.ConnectFailed, err)
+func (u *use) got(info httptrace.GotConnInfo) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.conn != nil && u.conn.count() > u.start {
+		u.wrote = true
 	}
-	if eris.Is(err, context.DeadlineExceeded) {
-		return verdict.New(verdict.MayHaveRun, verdict.DeadlineExceeded, err)
+	if c, ok := info.Conn.(*conn); ok {
+		u.conn = c
+		u.start = c.count()
+		return
 	}
-	return verdict.New(verdict.MayHaveRun, verdict.TransportFailed, err)
+	u.wrote = true // a foreign connection tells nothing
 }
 
-// CopyBody streams a body and flushes as it goes, so that slow answers arrive
-// as they are made.
-func CopyBody(w http.ResponseWriter, from io.Reader) error {
-	control := http.NewResponseController(w)
-	buffer := make([]byte, copyBytes)
-	for {
-		n, err := from.Read(buffer)
-		if n > 0 {
-			if _, failed := w.Write(buffer[:n]); failed != nil {
-				return eris.Wrap(failed, "write body")
-			}
-			if failed := control.Flush(); failed != nil {
-				return eris.Wrap(failed, "flush body")
-			}
-		}
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
-			return eris.Wrap(err, "read body")
-		}
+// end ends the connection and reports whether anything was written.
+func (u *use) end() (connected, wrote bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.conn == nil {
+		return u.wrote, u.wrote
+	}
+	return true, u.conn.seal() > u.start || u.wrote
+}
+
+// Send makes one attempt: the request goes out at most once. On failure it
+// says what is known: the request did not run when no byte of it was written
+// to a connection, and may have otherwise.
+func Send(transport http.RoundTripper, r *http.Request) (*http.Response, *verdict.Error) {
+	u := &use{}
+	trace := &httptrace.ClientTrace{GotConn: u.got}
+	response, err := transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err == nil {
+		return response, nil
+	}
+	connected, wrote := u.end()
+	return nil, failure(r.Context(), err, connected, wrote)
+}
+
+func failure(ctx context.Context, err error, connected, wrote bool) *verdict.Error {
+	v := verdict.NotRun
+	if wrote {
+		v = verdict.MayHaveRun
+	}
+	switch {
+	case eris.Is(context.Cause(ctx), context.DeadlineExceeded):
+		return verdict.New(v, verdict.DeadlineExceeded, err)
+	case ctx.Err() != nil:
+		return verdict.New(v, verdict.CallerGone, err)
+	case eris.Is(err, ErrSlowSender):
+		return verdict.New(v, verdict.SlowSender, err)
+	case !connected:
+		return verdict.New(v, verdict.ConnectFailed, err)
+	}
+	return verdict.New(v, verdict.TransportFailed, err)
+}
+
+// WithHeadDeadline returns a context that ends at the deadline unless stop is
+// called before: once the head of an answer is there, its body may take longer.
+// cancel ends it at once.
+func WithHeadDeadline(ctx context.Context, left time.Duration) (_ context.Context, stop func() bool, cancel func()) {
+	ctx, end := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(left, func() { end(context.DeadlineExceeded) })
+	return ctx, timer.Stop, func() {
+		timer.Stop()
+		end(context.Canceled)
 	}
 }
--- a/front/caller/body.go
+++ b/front/caller/body.go
@@ -4,8 +4,13 @@
 	"bytes"
 	"io"
 	"net/http"
+	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/marigoldshelf/marigoldshelf/encoding/hop"
+	"github.com/marigoldshelf/marigoldshelf/verdict"
 )
 
 // bufferBytes is the part of a body that is kept so that it can be sent again.
@@ -22,35 +27,43 @@
 
 // countingReader notes whether anything was read.
 type countingReader struct {
-	from io.ReadCloser
-	used bool
+	from io.Reader
+	used atomic.Bool
 }
 
 func (c *countingReader) Read(p []byte) (int, error) {
-	c.used = true
+	c.used.Store(true)
 	return c.from.Read(p)
 }
 
 // newBody reads the first bytes of the request's body.
-func newBody(r *http.Request) (*body, error) {
+func newBody(w http.ResponseWriter, r *http.Request, idle time.Duration) (*body, *verdict.Error) {
+	patient := hop.NewPatientBody(w, r, idle)
 	if r.ContentLength > bufferBytes {
-		return &body{rest: &countingReader{from: r.Body}, size: r.ContentLength}, nil
+		return &body{rest: &countingReader{from: patient}, size: r.ContentLength}, nil
+	}
+	if r.ContentLength == 0 {
+		return &body{whole: true}, nil
 	}
-	head, err := io.ReadAll(io.LimitReader(r.Body, bufferBytes+1))
+	head, err := io.ReadAll(io.LimitReader(patient, bufferBytes+1))
 	if err != nil {
-		return nil, eris.Wrap(err, "read body")
+		reason := verdict.BadRequest
+		if eris.Is(err, hop.ErrSlowSender) {
+			reason = verdict.SlowSender
+		}
+		return nil, verdict.New(verdict.NotRun, reason, eris.Wrap(err, "read body"))
 	}
 	b := &body{head: head, whole: len(head) <= bufferBytes, size: r.ContentLength}
-	if b.whole {
+	if !b.whole {
+		b.rest = &countingReader{from: patient}
+	} else if len(r.Trailer) == 0 {
 		b.size = int64(len(head))
-		return b, nil
 	}
-	b.rest = &countingReader{from: r.Body}
 	return b, nil
 }
 
 // replayable reports whether the body can still be sent from its start.
-func (b *body) replayable() bool { return b.whole || !b.rest.used }
+func (b *body) replayable() bool { return b.whole || !b.rest.used.Load() }
 
 // reader returns the body from its start.
 func (b *body) reader() io.ReadCloser {
--- a/front/caller/handler.go
+++ b/front/caller/handler.go
@@ -1,104 +1,147 @@
 // Package caller is the front end for callers, over net/http. It moves bytes:
-// it puts each request into the table Calls, does the steps that the
-// controller writes there, and reports what came of them.
+// it puts each request into the table Calls, makes the attempts that the
+// controller lists there, and reports what came of them.
+//
+// The first attempts run on the HTTP server's goroutine. A second one beside
+// another, a hedge, runs on a worker of the senders' pool.
 package caller
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/rotisserie/eris"
 
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/clock"
+	"github.com/marigoldshelf/marigoldshelf/controller"
 	"github.com/marigoldshelf/marigoldshelf/decide/call"
 	"github.com/marigoldshelf/marigoldshelf/encoding/hop"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 	"github.com/marigoldshelf/marigoldshelf/verdict"
 )
 
-// Handler serves callers. It is safe for concurrent use.
-type Handler struct {
+// Config sets a Handler up.
+type Config struct {
 	Tables *tables.Tables
 	Clock  clock.Clock
-	// Peers carries requests to other nodes. It must not follow proxies, and
-	// must wait for 100 Continue without a limit of its own.
+	// Peers carries requests to other nodes.
 	Peers http.RoundTripper
-	// Count is told the reason of each failed attempt and of each refusal.
+	// Idle bounds the pause between the bytes of a body, and how long a
+	// caller may take no byte of its answer.
+	Idle time.Duration
+	// Count is told the reason of each event.
 	Count func(event Event, reason verdict.Reason)
+	// Stopping reports whether the node stops: connections are then closed
+	// after the request that they carry.
+	Stopping func() bool
+}
+
+// Handler serves callers. It is safe for concurrent use.
+type Handler struct {
+	Config
+	open exchanges
 }
 
-// Event is what Handler.Count counts.
+// Event is what Config.Count counts.
 type Event string
 
 // The events.
 const (
 	Refused       Event = "refused"
 	AttemptFailed Event = "attempt_failed"
+	Retried       Event = "retried"
+	Hedged        Event = "hedged"
+	// Cut is an answer or request cut short by the other side.
+	Cut Event = "cut"
 )
 
+// New returns a handler. Its hedges run on the workers of senders.
+func New(c Config, senders *controller.Pool) *Handler {
+	h := &Handler{Config: c}
+	handle := controller.Register(senders, "hedge", func(_ time.Time, id string) controller.Result {
+		h.hedge(id)
+		return controller.Result{}
+	})
+	c.Tables.Hedges.Watch(handle.Add)
+	return h
+}
+
 // ServeHTTP answers one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x, err := h.begin(r)
-	if err != nil {
-		h.refuse(w, verdict.New(verdict.NotRun, verdict.BadRequest, err))
+	// Without full duplex the server would read a whole upload before it
+	// writes an early answer. HTTP/1.0 and tests do without.
+	_ = http.NewResponseController(w).EnableFullDuplex()
+	if h.Stopping() {
+		w.Header().Set("Connection", "close")
+	}
+	x, failure := h.begin(w, r)
+	if failure != nil {
+		h.refuse(w, call.Step{Refusal: failure})
 		return
 	}
+	h.open.add(x)
+	defer h.end(x)
 	h.put(x.call)
-	defer h.forget(x.call.Request.ID)
-	h.run(w, r, x)
+	h.run(w, x)
 }
 
-// exchange is one request while it is served.
-type exchange struct {
-	call   call.Call
-	body   *body
-	answer *http.Response // of the last attempt; nil when it failed
-}
-
-func (h *Handler) begin(r *http.Request) (*exchange, error) {
+func (h *Handler) begin(w http.ResponseWriter, r *http.Request) (*exchange, *verdict.Error) {
 	now := h.Clock.Now()
 	timeout, err := hop.ReadTimeout(r.Header)
 	if err != nil {
-		return nil, err
+		return nil, verdict.New(verdict.NotRun, verdict.BadRequest, err)
 	}
-	b, err := newBody(r)
-	if err != nil {
-		return nil, err
+	b, failure := newBody(w, r, h.Idle)
+	if failure != nil {
+		return nil, failure
+	}
+	request := call.Request{
+		ID: uuid.NewString(), HostName: r.Host, Path: r.URL.Path, Arrived: now, Whole: b.whole,
 	}
-	request := call.Request{ID: uuid.NewString(), HostName: r.Host, Path: r.URL.Path, Arrived: now}
 	if timeout > 0 {
 		request.Deadline = now.Add(timeout)
 	}
-	return &exchange{call: call.Call{Request: request}, body: b}, nil
+	return &exchange{request: r, call: call.Call{Request: request}, body: b}, nil
 }
 
-// run does the steps of the call until one of them ends it.
-func (h *Handler) run(w http.ResponseWriter, r *http.Request, x *exchange) {
+// run makes the attempts of the call until a step ends it.
+func (h *Handler) run(w http.ResponseWriter, x *exchange) {
+	started := 0
 	for {
-		next, err := h.nextStep(r.Context(), x.call)
+		next, err := h.nextStep(x.request.Context(), x.call)
 		if err != nil {
 			h.Count(Refused, verdict.CallerGone)
 			return
 		}
 		x.call = next
 		switch next.Step.Kind {
-		case call.Send:
-			h.attempt(r, x)
 		case call.Answer:
-			h.passOn(w, x)
+			h.passOn(w, x.take(next.Step.Attempt))
 			return
 		case call.Refuse:
-			h.refuse(w, next.Step.Refusal)
+			x.cancel()
+			h.refuse(w, next.Step)
 			return
 		}
+		for ; started < len(next.Attempts); started++ {
+			h.start(x, next, started)
+		}
 	}
 }
 
+// start makes one attempt, unless a sender makes it.
+func (h *Handler) start(x *exchange, c call.Call, attempt int) {
+	if c.Attempts[attempt].Hedge {
+		return
+	}
+	if attempt > 0 {
+		h.Count(Retried, c.Attempts[attempt-1].Outcome.Reason)
+	}
+	h.attempt(x, c, attempt)
+}
+
 // nextStep waits for the step after the one that c shows.
 func (h *Handler) nextStep(ctx context.Context, c call.Call) (call.Call, error) {
 	return h.Tables.Calls.Await(ctx, c.Request.ID, func(row call.Call, found bool) bool {
@@ -106,64 +149,21 @@
 	})
 }
 
-// attempt sends the request once and reports the outcome.
-func (h *Handler) attempt(r *http.Request, x *exchange) {
-	answer, failure := h.forward(r, x)
-	x.answer = answer
-	outcome := call.Outcome{Verdict: verdict.Ran, Replayable: x.body.replayable()}
-	if failure != nil {
-		h.Count(AttemptFailed, failure.Reason)
-		outcome.Verdict = failure.Verdict
-		outcome.Reason = failure.Reason
-	}
-	h.put(x.call.WithOutcome(outcome))
-}
-
 // passOn streams the backend server's answer to the caller. One that is cut
 // short ends the caller's connection, so that it cannot be taken for whole.
-func (h *Handler) passOn(w http.ResponseWriter, x *exchange) {
-	defer x.answer.Body.Close()
-	hop.CopyHeaders(w.Header(), x.answer.Header)
+func (h *Handler) passOn(w http.ResponseWriter, answer *http.Response) {
+	defer answer.Body.Close()
+	hop.CopyHeaders(w.Header(), answer.Header)
+	hop.CopyExhausted(w.Header(), answer.Header)
 	w.Header().Set(hop.HeaderVerdict, verdict.Ran.String())
-	w.WriteHeader(x.answer.StatusCode)
-	if err := hop.CopyBody(w, x.answer.Body); err != nil {
-		h.Count(Refused, verdict.ResponseTruncated)
-		panic(http.ErrAbortHandler)
-	}
-}
-
-// refusalBody is the answer to a request that failed.
-type refusalBody struct {
-	Verdict string `json:"verdict"`
-	Reason  string `json:"reason"`
-}
-
-func (h *Handler) refuse(w http.ResponseWriter, e *verdict.Error) {
-	h.Count(Refused, e.Reason)
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set(hop.HeaderVerdict, e.Verdict.String())
-	w.Header().Set(hop.HeaderReason, string(e.Reason))
-	w.WriteHeader(statusOf(e))
-	// A failed write means that the caller is gone.
-	_ = json.NewEncoder(w).Encode(refusalBody{Verdict: e.Verdict.String(), Reason: string(e.Reason)})
-}
-
-// statusOf returns the HTTP status for a refusal.
-func statusOf(e *verdict.Error) int {
-	switch e.Reason {
-	case verdict.NoRoute:
-		return http.StatusNotFound
-	case verdict.BadRequest:
-		return http.StatusBadRequest
-	case verdict.KeyReused:
-		return http.StatusUnprocessableEntity
-	case verdict.DeadlineExceeded, verdict.DeadlineTooShort:
-		return http.StatusGatewayTimeout
+	if h.Stopping() {
+		w.Header().Set("Connection", "close")
 	}
-	if e.Verdict == verdict.MayHaveRun {
-		return http.StatusBadGateway
+	w.WriteHeader(answer.StatusCode)
+	if err := hop.CopyAnswer(w, answer, h.Idle); err != nil {
+		h.Count(Cut, verdict.ResponseTruncated)
+		panic(http.ErrAbortHandler)
 	}
-	return http.StatusServiceUnavailable
 }
 
 func (h *Handler) put(c call.Call) {
@@ -171,74 +171,23 @@
 	t.Board.Do(func(tx *blackboard.Tx) { t.Calls.Put(tx, c.Request.ID, c) }, t.Calls.Write())
 }
 
-func (h *Handler) forget(id string) {
+// update changes the row of a call, if it is still there.
+func (h *Handler) update(id string, change func(call.Call) call.Call) {
 	t := h.Tables
-	t.Board.Do(func(tx *blackboard.Tx) { t.Calls.Delete(tx, id) }, t.Calls.Write())
-}
-
-// forward sends the request to the target of the present step. It returns the
-// backend server's answer, or why there is none.
-func (h *Handler) forward(r *http.Request, x *exchange) (*http.Response, *verdict.Error) {
-	request, err := h.peerRequest(r, x)
-	if err != nil {
-		return nil, verdict.New(verdict.NotRun, verdict.BadRequest, err)
-	}
-	response, err := h.Peers.RoundTrip(request)
-	if err != nil {
-		return nil, hop.TransportFailure(err)
-	}
-	answer, err := hop.ReadAnswer(response.Header)
-	if err == nil {
-		h.noteLoad(x, answer)
-	}
-	if answer.Verdict == verdict.Ran && answer.Reason == "" {
-		return response, nil
-	}
-	response.Body.Close()
-	reason := answer.Reason
-	if reason == "" {
-		reason = verdict.TransportFailed
-	}
-	return nil, verdict.New(answer.Verdict, reason, nil)
-}
-
-// peerRequest makes the request to the node beside the backend server.
-func (h *Handler) peerRequest(r *http.Request, x *exchange) (*http.Request, error) {
-	target := x.call.Step.Target
-	address := *r.URL
-	address.Scheme = "http"
-	address.Host = target.Address
-	ctx := r.Context()
-	request, err := http.NewRequestWithContext(ctx, r.Method, address.String(), nil)
-	if err != nil {
-		return nil, eris.Wrap(err, "peer request")
-	}
-	hop.CopyHeaders(request.Header, r.Header)
-	request.Host = r.Host
-	request.Body = hop.SingleUse{ReadCloser: x.body.reader()}
-	request.ContentLength = x.body.size
-	if !x.body.whole {
-		request.Header.Set("Expect", "100-continue")
-	}
-	h.hopRequest(x).Write(request.Header)
-	return request, nil
-}
-
-func (h *Handler) hopRequest(x *exchange) hop.Request {
-	c := x.call
-	return hop.Request{
-		ID:      c.Request.ID + "." + strconv.Itoa(len(c.Attempts)),
-		Target:  c.Step.Target.Host,
-		Service: c.Rule.Service,
-		Class:   c.Rule.Class,
-		Version: c.Version,
-		Timeout: max(c.Deadline.Sub(h.Clock.Now()), time.Millisecond),
-	}
+	t.Board.Do(func(tx *blackboard.Tx) {
+		if row, found := t.Calls.Get(tx, id); found {
+			t.Calls.Put(tx, id, change(row))
+		}
+	}, t.Calls.Write())
 }
 
-func (h *Handler) noteLoad(x *exchange, a hop.Answer) {
-	t := h.Tables
-	t.Board.Do(func(tx *blackboard.Tx) {
-		t.Loads.Put(tx, x.call.Step.Target.Host, a.Load)
-	}, t.Loads.Write())
+// end tells the controller that the request is over, and drops what is left of
+// other attempts.
+func (h *Handler) end(x *exchange) {
+	x.cancel()
+	h.open.remove(x)
+	h.update(x.call.Request.ID, func(c call.Call) call.Call {
+		c.Ended = true
+		return c
+	})
 }
--- a/front/peer/handler.go
+++ b/front/peer/handler.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -29,17 +30,24 @@
 	Service mesh.ServiceName
 	// Backend is the IP and port of the own backend server.
 	Backend string
+	// NotRunHeader is the header by which the backend server's own answer 429
+	// or 503 promises that the request was not run; empty for none.
+	NotRunHeader string
 	// Transport carries requests to the backend server; it bounds the
 	// connections.
 	Transport http.RoundTripper
+	// Idle bounds the pause between the bytes of a body, and how long a peer
+	// may take no byte of its answer.
+	Idle time.Duration
 	// Count is told the reason of each refusal and failure.
 	Count func(reason verdict.Reason)
 }
 
 // ServeHTTP answers one forwarded request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_ = http.NewResponseController(w).EnableFullDuplex()
 	request, err := hop.ReadRequest(r.Header)
-	if err != nil {
+	if err != nil || request.Timeout == 0 {
 		h.refuse(w, verdict.New(verdict.NotRun, verdict.BadRequest, err), 0)
 		return
 	}
@@ -47,11 +55,16 @@
 		h.refuse(w, verdict.New(verdict.NotRun, verdict.WrongHost, nil), 0)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), request.Timeout)
+	if !h.enter(request) {
+		// A second sending of an attempt, which only a fault can make.
+		h.refuse(w, verdict.New(verdict.MayHaveRun, verdict.BadRequest, nil), 0)
+		return
+	}
+	x := &exchange{id: request.ID}
+	defer h.leave(x)
+	ctx, stop, cancel := hop.WithHeadDeadline(r.Context(), request.Timeout)
 	defer cancel()
-	row := h.enter(request)
-	defer h.leave(row.ID)
-	row, err = h.awaitGrant(ctx, row)
+	row, err := h.awaitGrant(ctx, request.ID)
 	if err != nil {
 		h.refuse(w, verdict.New(verdict.NotRun, verdict.DeadlineExceeded, err), 0)
 		return
@@ -60,72 +73,108 @@
 		h.refuse(w, verdict.New(verdict.NotRun, row.Reason, nil), row.RetryAfter)
 		return
 	}
-	h.serve(ctx, w, r, request)
+	response, failure := h.send(ctx, w, r, row.Deadline)
+	stop()
+	if failure != nil {
+		h.refuse(w, failure, 0)
+		return
+	}
+	defer response.Body.Close()
+	h.answer(w, x, response)
+}
+
+// exchange is one request at the admission point, and how it ended.
+type exchange struct {
+	id          string
+	whole, shed bool
 }
 
-// enter puts the request into the table of the admission point.
-func (h *Handler) enter(r hop.Request) admit.Request {
+// enter puts the request into the table of the admission point; it returns
+// false when one with its ID is there.
+func (h *Handler) enter(r hop.Request) (entered bool) {
 	now := h.Clock.Now()
 	row := admit.Request{
 		ID: r.ID, Class: r.Class, Arrived: now, Deadline: now.Add(r.Timeout), State: admit.Waiting,
 	}
-	h.put(row)
-	return row
+	t := h.Tables
+	t.Board.Do(func(tx *blackboard.Tx) {
+		if _, taken := t.Admissions.Get(tx, row.ID); taken {
+			return
+		}
+		entered = true
+		t.Admissions.Put(tx, row.ID, row)
+	}, t.Admissions.Write())
+	return entered
 }
 
 // leave marks the request as finished, so that its slot goes to another.
-func (h *Handler) leave(id string) { h.put(admit.Request{ID: id, State: admit.Finished}) }
-
-func (h *Handler) put(row admit.Request) {
+func (h *Handler) leave(x *exchange) {
 	t := h.Tables
-	t.Board.Do(func(tx *blackboard.Tx) { t.Admissions.Put(tx, row.ID, row) }, t.Admissions.Write())
+	t.Board.Do(func(tx *blackboard.Tx) {
+		row, _ := t.Admissions.Get(tx, x.id)
+		row.ID, row.State, row.Whole, row.Shed = x.id, admit.Finished, x.whole, x.shed
+		t.Admissions.Put(tx, x.id, row)
+	}, t.Admissions.Write())
 }
 
-func (h *Handler) awaitGrant(ctx context.Context, row admit.Request) (admit.Request, error) {
-	return h.Tables.Admissions.Await(ctx, row.ID, func(current admit.Request, found bool) bool {
+func (h *Handler) awaitGrant(ctx context.Context, id string) (admit.Request, error) {
+	return h.Tables.Admissions.Await(ctx, id, func(current admit.Request, found bool) bool {
 		return found && current.State != admit.Waiting
 	})
 }
 
-// serve sends the request to the backend server and its answer back.
-func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, request hop.Request) {
-	outgoing, err := h.backendRequest(ctx, r)
+// send passes the request to the backend server.
+func (h *Handler) send(ctx context.Context, w http.ResponseWriter, r *http.Request, deadline time.Time) (*http.Response, *verdict.Error) {
+	address := *r.URL
+	address.Scheme = "http"
+	address.Host = h.Backend
+	request, err := http.NewRequestWithContext(ctx, r.Method, address.String(), nil)
 	if err != nil {
-		h.refuse(w, verdict.New(verdict.NotRun, verdict.BadRequest, err), 0)
+		return nil, verdict.New(verdict.NotRun, verdict.BadRequest, eris.Wrap(err, "backend request"))
+	}
+	hop.CopyHeaders(request.Header, r.Header)
+	request.Header.Del("Expect")
+	hop.WriteTimeout(request.Header, max(deadline.Sub(h.Clock.Now()), time.Millisecond))
+	request.Host = r.Host
+	request.Body = hop.SingleUse{ReadCloser: io.NopCloser(hop.NewPatientBody(w, r, h.Idle))}
+	request.ContentLength = r.ContentLength
+	request.Trailer = hop.Trailers(r)
+	return hop.Send(h.Transport, request)
+}
+
+// answer passes the backend server's answer on. One that is cut short ends the
+// connection, so that it cannot be taken for whole.
+func (h *Handler) answer(w http.ResponseWriter, x *exchange, response *http.Response) {
+	if h.shedUnrun(response) {
+		x.shed = true
+		answer := hop.Answer{Verdict: verdict.NotRun, Reason: verdict.BackendShed, Load: h.load(), Exhausted: hop.Exhausted(response.Header)}
+		h.Count(verdict.BackendShed)
+		answer.Write(w.Header())
+		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	response, err := h.Transport.RoundTrip(outgoing)
-	if err != nil {
-		h.refuse(w, hop.TransportFailure(err), 0)
+	if !hop.Delimited(response) {
+		h.refuse(w, verdict.New(verdict.MayHaveRun, verdict.ResponseTruncated, nil), 0)
 		return
 	}
-	defer response.Body.Close()
 	hop.CopyHeaders(w.Header(), response.Header)
-	hop.Answer{Verdict: verdict.Ran, Load: h.load()}.Write(w.Header())
+	answer := hop.Answer{Verdict: verdict.Ran, Load: h.load(), Exhausted: hop.Exhausted(response.Header)}
+	answer.Write(w.Header())
 	w.WriteHeader(response.StatusCode)
-	if err := hop.CopyBody(w, response.Body); err != nil {
+	if err := hop.CopyAnswer(w, response, h.Idle); err != nil {
 		h.Count(verdict.ResponseTruncated)
 		panic(http.ErrAbortHandler)
 	}
+	x.whole = true
 }
 
-func (h *Handler) backendRequest(ctx context.Context, r *http.Request) (*http.Request, error) {
-	address := *r.URL
-	address.Scheme = "http"
-	address.Host = h.Backend
-	request, err := http.NewRequestWithContext(ctx, r.Method, address.String(), nil)
-	if err != nil {
-		return nil, eris.Wrap(err, "backend request")
-	}
-	hop.CopyHeaders(request.Header, r.Header)
-	request.Header.Del("Expect")
-	if deadline, ok := ctx.Deadline(); ok {
-		hop.WriteTimeout(request.Header, max(deadline.Sub(h.Clock.Now()), time.Millisecond))
+// shedUnrun reports whether the backend server refused by itself and promises
+// that it did not run the request.
+func (h *Handler) shedUnrun(r *http.Response) bool {
+	if r.StatusCode != http.StatusServiceUnavailable && r.StatusCode != http.StatusTooManyRequests {
+		return false
 	}
-	request.Host = r.Host
-	request.Body = hop.SingleUse{ReadCloser: r.Body}
-	request.ContentLength = r.ContentLength
-	return request, nil
+	return h.NotRunHeader != "" && r.Header.Get(h.NotRunHeader) != ""
 }
 
 func (h *Handler) refuse(w http.ResponseWriter, e *verdict.Error, retryAfter time.Duration) {
@@ -135,21 +184,5 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-// load counts the admission point's rows.
-func (h *Handler) load() mesh.Load {
-	t := h.Tables
-	var load mesh.Load
-	t.Board.Do(func(tx *blackboard.Tx) {
-		load.Slots = t.Limits.Get(tx).Slots
-		t.Admissions.Each(tx, func(_ string, r admit.Request) bool {
-			switch r.State {
-			case admit.Granted:
-				load.Busy++
-			case admit.Waiting:
-				load.Queued++
-			}
-			return true
-		})
-	}, t.Limits.Read(), t.Admissions.Read())
-	return load
-}
+// load is what the controller admission last counted.
+func (h *Handler) load() mesh.Load { return h.Tables.Occupancy.Load() }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -55,6 +55,24 @@
 	return false
 }
 
+// NumClasses is the number of classes.
+const NumClasses = 4
+
+// Index returns the class's place in Classes, and the last one's for a class
+// that is not valid.
+func (c Class) Index() int {
+	switch c {
+	case Booking:
+		return 0
+	case Lookup:
+		return 1
+	case Upload:
+		return 2
+	default:
+		return NumClasses - 1
+	}
+}
+
 // Idempotent reports whether a request of the class may run more than once.
 func (c Class) Idempotent() bool { return c == Lookup || c == Background }
 
--- a/node/traffic.go
+++ b/node/traffic.go
@@ -4,7 +4,6 @@
 	"math/rand/v2"
 	"net/http"
 
-	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/controllers/admission"
 	"github.com/marigoldshelf/marigoldshelf/controllers/calls"
 	"github.com/marigoldshelf/marigoldshelf/decide/admit"
@@ -21,25 +20,26 @@
 func (n *Node) registerTraffic() {
 	t := n.tables
 	backend := n.options.Settings.Backend
-	t.Board.Do(func(tx *blackboard.Tx) {
-		t.Limits.Set(tx, admit.Limits{Slots: backend.Slots, Queue: *backend.Queue})
-	}, t.Limits.Write())
+	admission.Start(t, n.options.Clock.Now(), admit.Limits{Slots: backend.Slots, Queue: *backend.Queue})
 	admission.Register(n.pool, t)
 	calls.Register(n.pool, t, calls.Config{
 		Zone:   n.self.Zone,
+		Region: n.self.Region,
 		Random: rand.New(rand.NewPCG(n.options.Seed, uint64(n.self.Incarnation))),
 	})
 }
 
 func (n *Node) callerHandler() http.Handler {
-	return &caller.Handler{
+	return caller.New(caller.Config{
 		Tables: n.tables,
 		Clock:  n.options.Clock,
 		Peers:  hop.NewTransport(0),
+		Idle:   n.options.Settings.Traffic.BodyIdle(),
 		Count: func(event caller.Event, reason verdict.Reason) {
 			n.options.Metrics.Count(string(event), reason)
 		},
-	}
+		Stopping: func() bool { return n.tables.Drain.Load().Stopping },
+	}, n.sendPool)
 }
 
 // peerMux serves the peers' listener: callers' requests that other nodes
@@ -66,6 +66,10 @@
 		Service:   n.self.Service,
 		Backend:   backend.Address,
 		Transport: hop.NewTransport(backend.Connections),
+		Idle:      n.options.Settings.Traffic.BodyIdle(),
+
+		NotRunHeader: backend.NotRunHeader,
+
 		Count:     func(reason verdict.Reason) { n.options.Metrics.Count(notAdmitted, reason) },
 	}
 }
--- a/tables/order.go
+++ b/tables/order.go
@@ -20,14 +20,18 @@
 	// Fleet: 200 to 299 membership, 300 to 399 where requests can go.
 	rankMembers   blackboard.Rank = 200
 	rankEndpoints blackboard.Rank = 300
-	rankLoads     blackboard.Rank = 310
+	rankReports   blackboard.Rank = 310
 	rankInFlight  blackboard.Rank = 320
+	rankServices  blackboard.Rank = 330
 
 	// Traffic: 400 to 499 callers' requests, 500 to 599 the admission point.
 	rankCalls      blackboard.Rank = 400
 	rankDrain      blackboard.Rank = 500
 	rankLimits     blackboard.Rank = 510
+	rankCapacity   blackboard.Rank = 515
 	rankAdmissions blackboard.Rank = 520
+	rankTimes      blackboard.Rank = 530
+	rankOccupancy  blackboard.Rank = 540
 
 	// Idempotency keys: 600 to 699.
 
@@ -37,6 +41,7 @@
 	rankLogBatches  blackboard.Rank = 920
 	rankAppends     blackboard.Rank = 930
 	rankAppendsDone blackboard.Rank = 940
+	rankHedges      blackboard.Rank = 960
 )
 
 // Tables is the blackboard of one node.
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -72,6 +72,7 @@
 	PlatformDown      Reason = "platform_down"      // the platform's log does not answer
 	WrongHost         Reason = "wrong_host"         // the receiver does not hold that backend server
 	FloorUnknown      Reason = "floor_unknown"      // the lowest version allowed is not known yet
+	SlowSender        Reason = "slow_sender"        // the caller's bytes stopped coming
 	ResponseTruncated Reason = "response_truncated" // the answer was cut short
 )
 
