--- a/cmd/marigold/main.go
+++ b/cmd/marigold/main.go
@@ -24,12 +24,14 @@
 	Node  string `default:"http://127.0.0.1:7300" env:"MARIGOLD_NODE" help:"URL of a node's operators' listener."`
 	Token string `env:"MARIGOLD_TOKEN" help:"Credential."`
 
-	Status   getCommand     `cmd:"" help:"Show the node, its version and its members."`
-	Propose  proposeCommand `cmd:"" help:"Propose a configuration."`
-	Approve  answerCommand  `cmd:"" help:"Approve a proposal, as its customer."`
-	Veto     answerCommand  `cmd:"" help:"Veto a proposal, as its customer."`
-	Release  answerCommand  `cmd:"" help:"Put an approved proposal in force."`
-	Withhold answerCommand  `cmd:"" help:"Close a proposal without releasing it."`
+	Status   getCommand      `cmd:"" help:"Show the node, its version and its members."`
+	Propose  proposeCommand  `cmd:"" help:"Propose a configuration."`
+	Approve  answerCommand   `cmd:"" help:"Approve a proposal, as its customer."`
+	Veto     answerCommand   `cmd:"" help:"Veto a proposal, as its customer."`
+	Release  answerCommand   `cmd:"" help:"Put an approved proposal in force."`
+	Withhold answerCommand   `cmd:"" help:"Close a proposal without releasing it."`
+	Simulate simulateCommand `cmd:"" help:"Run the request path's decisions against a queue model."`
+	Measure  measureCommand  `cmd:"" help:"Send load at given rates and report what came of it."`
 }
 
 func main() {
--- a/encoding/hop/transport.go
+++ b/encoding/hop/transport.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/marigoldshelf/marigoldshelf/network"
 	"github.com/marigoldshelf/marigoldshelf/verdict"
 )
 
@@ -24,20 +25,13 @@
 // NewTransport returns the transport of one hop: HTTP/1.1 with one request on
 // a connection at a time, so that no request waits behind another's bytes.
 // perHost bounds the connections to one address; zero is without bound.
-func NewTransport(perHost int) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func NewTransport(from network.Network, perHost int) *http.Transport {
 	idle := perHost
 	if idle == 0 {
 		idle = idlePerHost
 	}
 	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			plain, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &conn{Conn: plain}, nil
-		},
+		DialContext:            dialWithin(from),
 		MaxConnsPerHost:        perHost,
 		MaxIdleConnsPerHost:    idle,
 		IdleConnTimeout:        idleTimeout,
@@ -47,6 +41,19 @@
 	}
 }
 
+// dialWithin bounds the time that a connection takes to be made.
+func dialWithin(from network.Network) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, kind, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		plain, err := from.DialContext(ctx, kind, address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: plain}, nil
+	}
+}
+
 // conn counts what is written, so that a failed request is known not to have
 // left this host when nothing was.
 type conn struct {
--- a/front/caller/attempt.go
+++ b/front/caller/attempt.go
@@ -60,6 +60,9 @@
 	var answer *http.Response
 	var told hop.Answer
 	request, failure := h.peerRequest(x, c, attempt)
+	if failure == nil {
+		failure = h.CheckSend(x.request, c.Rule.Class)
+	}
 	if failure == nil {
 		answer, told, failure = h.forward(request.WithContext(ctx))
 	}
--- a/front/caller/handler.go
+++ b/front/caller/handler.go
@@ -18,6 +18,7 @@
 	"github.com/marigoldshelf/marigoldshelf/controller"
 	"github.com/marigoldshelf/marigoldshelf/decide/call"
 	"github.com/marigoldshelf/marigoldshelf/encoding/hop"
+	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 	"github.com/marigoldshelf/marigoldshelf/verdict"
 )
@@ -31,6 +32,9 @@
 	// Idle bounds the pause between the bytes of a body, and how long a
 	// caller may take no byte of its answer.
 	Idle time.Duration
+	// CheckSend says why a request must not be sent to a backend server now;
+	// nil when it may.
+	CheckSend func(*http.Request, mesh.Class) *verdict.Error
 	// Count is told the reason of each event.
 	Count func(event Event, reason verdict.Reason)
 	// Stopping reports whether the node stops: connections are then closed
--- a/node/config.go
+++ b/node/config.go
@@ -2,22 +2,89 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
 
+	"github.com/marigoldshelf/marigoldshelf/controller"
 	"github.com/marigoldshelf/marigoldshelf/controllers/activate"
 	"github.com/marigoldshelf/marigoldshelf/controllers/changes"
-	"github.com/marigoldshelf/marigoldshelf/controllers/logread"
+	"github.com/marigoldshelf/marigoldshelf/controllers/floor"
+	"github.com/marigoldshelf/marigoldshelf/controllers/follow"
+	"github.com/marigoldshelf/marigoldshelf/controllers/relay"
+	"github.com/marigoldshelf/marigoldshelf/controllers/roles"
+	"github.com/marigoldshelf/marigoldshelf/controllers/snapwrite"
 	"github.com/marigoldshelf/marigoldshelf/controllers/submit"
+	"github.com/marigoldshelf/marigoldshelf/decide/snapshot"
+	"github.com/marigoldshelf/marigoldshelf/decide/spread"
+	"github.com/marigoldshelf/marigoldshelf/front/distrib"
+	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/outbox"
 	"github.com/marigoldshelf/marigoldshelf/platform"
 	"github.com/marigoldshelf/marigoldshelf/tables"
+	"github.com/marigoldshelf/marigoldshelf/verdict"
 )
 
+const (
+	// platformTimeout is how long the platform may take to answer, beyond the
+	// time for which it may hold a read.
+	platformTimeout = 5 * time.Second
+	// distributionEvent counts what goes wrong in the distribution, by reason.
+	distributionEvent = "distribution"
+	// pullAnswerEvent counts the answers to other nodes, by kind.
+	pullAnswerEvent = "pull_answer"
+)
+
+// Streams of the node's seed, one for each controller that draws.
+const (
+	seedFollow = iota + 1
+	seedRelay
+)
+
+// Configuration is the part of a node that keeps its configuration: the
+// controllers of changes, distribution and recovery.
+type Configuration struct {
+	// Self is the node itself, Started the instant at which it started.
+	Self    mesh.Member
+	Started time.Time
+	// Seed starts the draws.
+	Seed uint64
+	// Spread and Snapshots are the shape of the distribution and the policy of
+	// recovery; their zero values take the defaults.
+	Spread    spread.Config
+	Snapshots snapshot.Policy
+	// Count is told each event and its reason.
+	Count func(event string, reason verdict.Reason)
+}
+
+// Register adds the controllers.
+func (c Configuration) Register(p *controller.Pool, t *tables.Tables) {
+	host, policy := c.Self.Host, c.Snapshots.WithDefaults()
+	count := func(reason string) { c.Count(distributionEvent, verdict.Reason(reason)) }
+	roles.Register(p, t, c.Self, c.Spread)
+	follow.Register(p, t, follow.Config{
+		Host: host, Started: c.Started, Changes: changes.Consumer{Tables: t},
+		Random: c.random(seedFollow), Writers: policy.Writers, Count: count,
+	})
+	relay.Register(p, t, relay.Config{
+		Random: c.random(seedRelay),
+		Count:  func(k spread.Kind) { c.Count(pullAnswerEvent, verdict.Reason(k.String())) },
+	})
+	floor.Register(p, t, floor.Config{Host: host, Started: c.Started, Count: count})
+	snapwrite.Register(p, t, snapwrite.Config{Started: c.Started, Policy: policy, Count: count})
+	activate.Register(p, t)
+	submit.Register(p, t, c.Count)
+}
+
+func (c Configuration) random(stream uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(c.Seed+stream, uint64(c.Self.Incarnation)))
+}
+
 // registerConfig adds the controllers of changes and of the configuration.
 func (n *Node) registerConfig() {
-	t := n.tables
-	logread.Register(n.pool, t, platform.Config, changes.Consumer{Tables: t})
-	activate.Register(n.pool, t)
-	submit.Register(n.pool, t)
+	Configuration{
+		Self: n.self, Started: n.options.Clock.Now(), Seed: n.options.Seed, Count: n.options.Metrics.Count,
+	}.Register(n.pool, n.tables)
 }
 
 // registerIO adds the duties of the I/O workers.
@@ -26,12 +93,26 @@
 	log := n.options.Log
 	outbox.Serve(ctx, n.ioPool, t.Board, "read log", t.LogReads, t.LogBatches,
 		func(ctx context.Context, s platform.Stream, r tables.LogRead) tables.LogBatch {
+			ctx, cancel := context.WithTimeout(ctx, r.Wait+platformTimeout)
+			defer cancel()
 			records, err := log.Read(ctx, s, r.From, r.Wait)
-			return tables.LogBatch{From: r.From, Records: records, Err: err}
+			return tables.LogBatch{From: r.From, At: r.At, Failures: r.Failures, Records: records, Err: err}
 		})
 	outbox.Serve(ctx, n.ioPool, t.Board, "append", t.Appends, t.AppendsDone,
 		func(ctx context.Context, _ string, a tables.Append) tables.AppendDone {
+			ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+			defer cancel()
 			offset, err := log.Append(ctx, a.Stream, []byte(a.Data))
 			return tables.AppendDone{Offset: offset, Err: err}
 		})
+	outbox.Serve(ctx, n.ioPool, t.Board, "bounds", t.BoundsAsks, t.BoundsResults,
+		func(ctx context.Context, s platform.Stream, a tables.BoundsAsk) tables.BoundsResult {
+			ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+			defer cancel()
+			bounds, err := log.Bounds(ctx, s)
+			return tables.BoundsResult{Ask: a, Bounds: bounds, Err: err}
+		})
+	client := &distrib.Client{HTTP: &http.Client{Transport: n.transport(0)}, Clock: n.options.Clock}
+	outbox.Serve(ctx, n.ioPool, t.Board, "ask peer", t.Asks, t.AskResults, client.Ask)
+	outbox.Serve(ctx, n.ioPool, t.Board, "recall", t.RecallAsks, t.Recalls, client.Recall)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -10,14 +10,17 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/clock"
 	"github.com/marigoldshelf/marigoldshelf/controller"
 	"github.com/marigoldshelf/marigoldshelf/front/operator"
+	"github.com/marigoldshelf/marigoldshelf/logs"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/metrics"
+	"github.com/marigoldshelf/marigoldshelf/network"
 	"github.com/marigoldshelf/marigoldshelf/platform"
 	"github.com/marigoldshelf/marigoldshelf/settings"
 	"github.com/marigoldshelf/marigoldshelf/tables"
@@ -31,6 +34,8 @@
 	Settings settings.Settings
 	// Log is the platform's log service.
 	Log platform.Log
+	// Network opens the node's ports and connections; nil for the host's.
+	Network network.Network
 	// Clock is the node's time.
 	Clock clock.Clock
 	// Seed starts the node's draws.
@@ -39,6 +44,10 @@
 	Board *blackboard.Board
 	// Metrics takes the node's counters.
 	Metrics *metrics.Metrics
+	// MetricsPage is served to scrapers; nil for none.
+	MetricsPage http.Handler
+	// Logger takes the node's log; nil for none.
+	Logger *logs.Logger
 }
 
 // Node is one process of the system. Make it with New, then call Run.
@@ -47,22 +56,33 @@
 	tables    *tables.Tables
 	pool      *controller.Pool
 	ioPool    *controller.Pool
+	keyPool   *controller.Pool
+	sendPool  *controller.Pool
 	self      mesh.Member
 	listeners listeners
+	// transports are those whose idle connections end with the node.
+	transports []*http.Transport
 }
 
 // listeners are the node's open ports.
 type listeners struct {
 	callers, peers, operators net.Listener
+	probes                    net.PacketConn
 }
 
 // New opens the node's ports and puts its parts together.
 func New(o Options) (*Node, error) {
+	if o.Network == nil {
+		o.Network = network.System{}
+	}
 	n := &Node{
 		options: o,
 		tables:  tables.New(o.Board),
 		pool:    controller.New(o.Clock, o.Settings.Workers),
 		ioPool:  controller.New(o.Clock, o.Settings.IOWorkers),
+		keyPool: controller.New(o.Clock, keyWorkers),
+
+		sendPool: controller.New(o.Clock, sendWorkers),
 	}
 	if err := n.listen(); err != nil {
 		return nil, err
@@ -77,12 +97,15 @@
 		State:       mesh.Alive,
 		PeerAddress: n.listeners.peers.Addr().String(),
 	}
-	return n, n.registerControllers()
+	n.self.Life = n.self.Incarnation
+	n.self.ProbeAddress = n.listeners.probes.LocalAddr().String()
+	n.registerControllers()
+	return n, nil
 }
 
 // Addresses are the ports that a node listens on.
 type Addresses struct {
-	Callers, Peers, Operators string
+	Callers, Peers, Operators, Probes string
 }
 
 // Addresses returns the node's ports.
@@ -91,26 +114,32 @@
 		Callers:   n.listeners.callers.Addr().String(),
 		Peers:     n.listeners.peers.Addr().String(),
 		Operators: n.listeners.operators.Addr().String(),
+		Probes:    n.listeners.probes.LocalAddr().String(),
 	}
 }
 
 func (n *Node) listen() (err error) {
 	l := n.options.Settings.Listen
-	if n.listeners.callers, err = net.Listen("tcp", l.Callers); err != nil {
+	if n.listeners.callers, err = n.options.Network.Listen(l.Callers); err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
-	if n.listeners.peers, err = net.Listen("tcp", l.Peers); err != nil {
+	if n.listeners.peers, err = n.options.Network.Listen(l.Peers); err != nil {
 		return eris.Wrap(err, "listen for peers")
 	}
-	n.listeners.operators, err = net.Listen("tcp", l.Operators)
-	return eris.Wrap(err, "listen for operators")
+	if n.listeners.operators, err = n.options.Network.Listen(l.Operators); err != nil {
+		return eris.Wrap(err, "listen for operators")
+	}
+	n.listeners.probes, err = n.options.Network.ListenPacket(l.Probes)
+	return eris.Wrap(err, "listen for probes")
 }
 
 // registerControllers puts the controllers of each area on the pool.
-func (n *Node) registerControllers() error {
+func (n *Node) registerControllers() {
 	n.registerConfig()
 	n.registerTraffic()
-	return n.registerFleet()
+	n.registerKeys()
+	n.registerObserve()
+	n.registerFleet()
 }
 
 // Run serves until ctx ends, then lets what is under way finish.
@@ -118,6 +147,9 @@
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	n.registerIO(work)
+	front := n.probeFront()
+	front.RegisterSender(n.ioPool)
+	n.registerKeyIO(work)
 	servers, err := n.servers()
 	if err != nil {
 		return err
@@ -127,13 +159,24 @@
 	defer stopWork()
 	group.Go(func() { n.pool.Run(work) })
 	group.Go(func() { n.ioPool.Run(work) })
+	group.Go(func() { n.receiveProbes(work, front) })
+	group.Go(func() { n.keyPool.Run(work) })
+	group.Go(func() { n.sendPool.Run(work) })
 	for _, s := range servers {
 		group.Go(func() { s.run() })
 	}
 	<-ctx.Done()
+	defer n.closeIdle()
+	n.distribution().Release()
 	return shutdown(servers)
 }
 
+func (n *Node) closeIdle() {
+	for _, t := range n.transports {
+		t.CloseIdleConnections()
+	}
+}
+
 // server is one front end on its listener.
 type server struct {
 	http     *http.Server
@@ -157,15 +200,16 @@
 func (n *Node) servers() ([]server, error) {
 	api := &operator.API{
 		Tables: n.tables, Clock: n.options.Clock, Self: n.self, Logins: n.options.Settings.Logins,
+		Meter: n.options.Metrics, NewID: uuid.NewString,
 	}
 	operators, err := api.Handler()
 	if err != nil {
 		return nil, eris.Wrap(err, "operators' API")
 	}
 	return []server{
-		newServer(n.listeners.callers, n.callerHandler()),
+		newServer(n.listeners.callers, n.keyedHandler(n.callerHandler())),
 		newServer(n.listeners.peers, n.peerMux()),
-		newServer(n.listeners.operators, operators),
+		newServer(n.listeners.operators, n.operatorMux(operators)),
 	}, nil
 }
 
--- a/node/traffic.go
+++ b/node/traffic.go
@@ -9,6 +9,7 @@
 	"github.com/marigoldshelf/marigoldshelf/decide/admit"
 	"github.com/marigoldshelf/marigoldshelf/encoding/hop"
 	"github.com/marigoldshelf/marigoldshelf/front/caller"
+	"github.com/marigoldshelf/marigoldshelf/front/keyed"
 	"github.com/marigoldshelf/marigoldshelf/front/peer"
 	"github.com/marigoldshelf/marigoldshelf/verdict"
 )
@@ -16,6 +17,10 @@
 // notAdmitted is the event of a request that the admission point turned away.
 const notAdmitted = "not_admitted"
 
+// sendWorkers is the number of workers that send hedges; each is busy until
+// the hedge is answered, and while all are, no other one is made.
+const sendWorkers = 16
+
 // registerTraffic adds the controllers of requests.
 func (n *Node) registerTraffic() {
 	t := n.tables
@@ -29,12 +34,21 @@
 	})
 }
 
+// transport returns a transport whose idle connections are closed when the
+// node has stopped.
+func (n *Node) transport(perHost int) *http.Transport {
+	t := hop.NewTransport(n.options.Network, perHost)
+	n.transports = append(n.transports, t)
+	return t
+}
+
 func (n *Node) callerHandler() http.Handler {
 	return caller.New(caller.Config{
-		Tables: n.tables,
-		Clock:  n.options.Clock,
-		Peers:  hop.NewTransport(0),
-		Idle:   n.options.Settings.Traffic.BodyIdle(),
+		Tables:    n.tables,
+		Clock:     n.options.Clock,
+		Peers:     n.transport(0),
+		CheckSend: keyed.CheckSend,
+		Idle:      n.options.Settings.Traffic.BodyIdle(),
 		Count: func(event caller.Event, reason verdict.Reason) {
 			n.options.Metrics.Count(string(event), reason)
 		},
@@ -65,11 +79,11 @@
 		Host:      n.self.Host,
 		Service:   n.self.Service,
 		Backend:   backend.Address,
-		Transport: hop.NewTransport(backend.Connections),
+		Transport: n.transport(backend.Connections),
 		Idle:      n.options.Settings.Traffic.BodyIdle(),
 
 		NotRunHeader: backend.NotRunHeader,
 
-		Count:     func(reason verdict.Reason) { n.options.Metrics.Count(notAdmitted, reason) },
+		Count: func(reason verdict.Reason) { n.options.Metrics.Count(notAdmitted, reason) },
 	}
 }
--- a/measure/node.go
+++ b/queuemodel/node.go
@@ -1,4 +1,4 @@
-package measure
+package queuemodel
 
 import (
 	"strconv"
--- a/measure/server.go
+++ b/queuemodel/server.go
@@ -1,4 +1,4 @@
-package measure
+package queuemodel
 
 import (
 	"slices"
@@ -26,6 +26,7 @@
 	jobs    []*job // in the order of arrival
 	service admit.ServiceTimes
 	loads   []loadAt
+	buffer  []admit.Request // of rows, used again
 }
 
 // loadAt is the load at an instant; late reports read old ones.
@@ -39,11 +40,24 @@
 }
 
 func (s *server) rows() []admit.Request {
-	rows := make([]admit.Request, 0, len(s.jobs))
+	s.buffer = s.buffer[:0]
 	for _, j := range s.jobs {
-		rows = append(rows, j.row)
+		s.buffer = append(s.buffer, j.row)
 	}
-	return rows
+	return s.buffer
+}
+
+func (s *server) occupancy() mesh.Load {
+	load := mesh.Load{Slots: s.world.plan.Slots}
+	for _, j := range s.jobs {
+		switch j.row.State {
+		case admit.Granted:
+			load.Busy++
+		case admit.Waiting:
+			load.Queued++
+		}
+	}
+	return load
 }
 
 func (s *server) remove(j *job) {
@@ -81,7 +95,9 @@
 		j.ended = true
 		j.reply(false, row.Reason, row.RetryAfter, s.load())
 	}
-	s.loads = append(s.loads, loadAt{w.now, admit.Occupancy(w.plan.Slots, s.rows())})
+	if w.scheme.LateLoads > 0 {
+		s.loads = append(s.loads, loadAt{w.now, s.occupancy()})
+	}
 }
 
 func (s *server) start(j *job) {
@@ -117,7 +133,7 @@
 func (s *server) load() mesh.Load {
 	w := s.world
 	if w.scheme.LateLoads == 0 {
-		return admit.Occupancy(w.plan.Slots, s.rows())
+		return s.occupancy()
 	}
 	for i := len(s.loads) - 1; i >= 0; i-- {
 		if w.now.Sub(s.loads[i].at) >= w.scheme.LateLoads {
--- a/measure/world.go
+++ b/queuemodel/world.go
@@ -1,8 +1,8 @@
-// Package measure runs the decisions of the request path against a small
+// Package queuemodel runs the decisions of the request path against a small
 // queue model on a virtual clock: callers' nodes, a fixed delay between hosts,
 // and backend servers with slots and slow moments. Each run compares the
 // decisions in use with simpler ones; the same seed gives the same figures.
-package measure
+package queuemodel
 
 import (
 	"container/heap"
@@ -168,6 +168,7 @@
 func compile(plan Plan, scheme Scheme) *route.Table {
 	c := mesh.Config{
 		Services: map[mesh.ServiceName]mesh.Service{service: {Name: service, Customer: "customer"}},
+		Hosts:    map[mesh.HostID]mesh.Host{"h": {ID: "h", Zone: "z", Service: service}},
 		Rules:    make(map[string]mesh.Rule),
 	}
 	for _, t := range plan.Traffic {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -11,6 +11,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -27,13 +28,15 @@
 	// Region is the region of the zone; it may be left out when there is one.
 	Region   mesh.Region  `json:"region"`
 	Listen   Listen       `json:"listen"`
+	Peers    Peers        `json:"peers"`
 	Backend  Backend      `json:"backend"`
 	Platform Platform     `json:"platform"`
+	Traffic  Traffic      `json:"traffic"`
 	Logins   []Credential `json:"credentials"`
 	// Workers is the number of workers of the controllers' pool, 1 to 256.
 	// Default 4.
 	Workers int `json:"workers"`
-	// IOWorkers is the number of workers that send what outboxes hold, 4 to
+	// IOWorkers is the number of workers that send what outboxes hold, 8 to
 	// 256. Default 16.
 	IOWorkers int `json:"io_workers"`
 }
@@ -46,6 +49,20 @@
 	Peers string `json:"peers"`
 	// Operators is for operators and customers. Required.
 	Operators string `json:"operators"`
+	// Probes is for the datagrams (UDP) of membership; it must be reachable
+	// from other nodes. Default the address and port of Peers.
+	Probes string `json:"probes,omitempty"`
+}
+
+// Peers says how nodes find and trust each other.
+type Peers struct {
+	// Seeds are the probe addresses, as IP:port, of nodes to join through when
+	// the platform is down at the start, at most 64. Default none.
+	Seeds []string `json:"seeds,omitempty"`
+	// Secret authenticates datagrams between nodes: all nodes have the same, at
+	// least 16 characters. It is never logged. Default none: then any host that
+	// reaches the port can speak as a node.
+	Secret string `json:"secret,omitempty"`
 }
 
 // Backend describes the host's backend server.
@@ -58,11 +75,35 @@
 	Slots int `json:"slots"`
 	// Connections bounds the connections to it, 1 to 65535. Default 130.
 	Connections int `json:"connections"`
+	// NotRunHeader is the name of a header by which its own answers 429 and
+	// 503 promise that the request was not run. Default none: such an answer
+	// is passed on and never retried.
+	NotRunHeader string `json:"not_run_header,omitempty"`
 	// Queue is the number of requests that may wait for a slot, 0 to 65535.
 	// Default twice the slots.
 	Queue *int `json:"queue"`
 }
 
+// Traffic bounds callers' requests.
+type Traffic struct {
+	// BodyIdleMillis is the longest pause between the bytes of a body, in
+	// milliseconds, 100 to 600,000. Longer ones hold connections of senders
+	// that are gone. Default 30,000.
+	BodyIdleMillis int `json:"body_idle_ms"`
+	// StopLimitMillis is how long a planned stop waits for what is under way
+	// before it tells the operator, in milliseconds, 1,000 to 86,400,000.
+	// Default 600,000.
+	StopLimitMillis int `json:"stop_limit_ms"`
+}
+
+// BodyIdle is the longest pause between the bytes of a body.
+func (t Traffic) BodyIdle() time.Duration { return time.Duration(t.BodyIdleMillis) * time.Millisecond }
+
+// StopLimit is when the operator is told of a planned stop that still waits.
+func (t Traffic) StopLimit() time.Duration {
+	return time.Duration(t.StopLimitMillis) * time.Millisecond
+}
+
 // Platform says where the platform's log service is.
 type Platform struct {
 	// URL is its address, such as "http://10.0.0.5:7000". Required.
@@ -104,9 +145,16 @@
 	defaultWorkers     = 4
 	defaultIOWorkers   = 16
 	defaultConnections = 130
+	defaultBodyIdle    = 30_000
+	defaultStopLimit   = 600_000
+	minBodyIdle        = 100
+	maxBodyIdle        = 600_000
+	minStopLimit       = 1_000
+	maxStopLimit       = 86_400_000
 	minTokenLength     = 16
+	maxSeeds           = 64
 	maxWorkers         = 256
-	minIOWorkers       = 4
+	minIOWorkers       = 8
 	maxSlots           = 4096
 	maxCount           = 65535
 )
@@ -143,9 +191,18 @@
 	if s.IOWorkers == 0 {
 		s.IOWorkers = defaultIOWorkers
 	}
+	if s.Listen.Probes == "" {
+		s.Listen.Probes = s.Listen.Peers
+	}
 	if s.Backend.Connections == 0 {
 		s.Backend.Connections = defaultConnections
 	}
+	if s.Traffic.BodyIdleMillis == 0 {
+		s.Traffic.BodyIdleMillis = defaultBodyIdle
+	}
+	if s.Traffic.StopLimitMillis == 0 {
+		s.Traffic.StopLimitMillis = defaultStopLimit
+	}
 	if s.Backend.Queue == nil {
 		queue := 2 * s.Backend.Slots
 		s.Backend.Queue = &queue
@@ -159,12 +216,16 @@
 	c.address("listen.callers", s.Listen.Callers)
 	c.address("listen.peers", s.Listen.Peers)
 	c.address("listen.operators", s.Listen.Operators)
+	c.address("listen.probes", s.Listen.Probes)
+	c.peers(s.Peers)
 	c.text("backend.service", string(s.Backend.Service))
 	c.address("backend.address", s.Backend.Address)
 	c.between("backend.slots", s.Backend.Slots, 1, maxSlots)
 	c.between("backend.connections", s.Backend.Connections, 1, maxCount)
 	c.between("backend.queue", *s.Backend.Queue, 0, maxCount)
 	c.url("platform.url", s.Platform.URL)
+	c.between("traffic.body_idle_ms", s.Traffic.BodyIdleMillis, minBodyIdle, maxBodyIdle)
+	c.between("traffic.stop_limit_ms", s.Traffic.StopLimitMillis, minStopLimit, maxStopLimit)
 	for i, login := range s.Logins {
 		c.credential("credentials["+strconv.Itoa(i)+"]", login)
 	}
@@ -198,6 +259,18 @@
 	}
 }
 
+func (c *checker) peers(p Peers) {
+	if len(p.Seeds) > maxSeeds {
+		c.add("peers.seeds", "must have at most "+strconv.Itoa(maxSeeds)+" entries")
+	}
+	for i, seed := range p.Seeds {
+		c.address("peers.seeds["+strconv.Itoa(i)+"]", seed)
+	}
+	if p.Secret != "" && len(p.Secret) < minTokenLength {
+		c.add("peers.secret", "must have at least "+strconv.Itoa(minTokenLength)+" characters")
+	}
+}
+
 func (c *checker) url(key, value string) {
 	u, err := url.Parse(value)
 	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
