--- a/controllers/keyclaim/keyclaim.go
+++ b/controllers/keyclaim/keyclaim.go
@@ -102,7 +102,7 @@
 // send writes to the key's home, if it is known who that is.
 func (r asker) send(tx *blackboard.Tx, now time.Time, c idempotency.Claim) idempotency.Claim {
 	t := r.tables
-	a := t.KeyMap.Get(tx).Map.Assignments[c.Key.Shard()]
+	a := t.KeyMap.Get(tx).Map.Assignments[r.config.ShardOf(c.Key)]
 	home, known := t.Members.Get(tx, a.Primary.Host)
 	if a.Epoch == 0 || !known {
 		return c.Unsent(now)
--- a/controllers/keyhome/keyhome.go
+++ b/controllers/keyhome/keyhome.go
@@ -87,7 +87,7 @@
 
 func (r home) end(tx *blackboard.Tx, now time.Time, id string, op tables.KeyOperation) tables.KeyOperation {
 	op.Done = true
-	s, held := r.tables.KeyShards.Get(tx, op.End.Key.Shard())
+	s, held := r.tables.KeyShards.Get(tx, r.config.ShardOf(op.End.Key))
 	if !held {
 		return op
 	}
@@ -105,7 +105,7 @@
 // claim decides a claim, or asks the backup first.
 func (r home) claim(tx *blackboard.Tx, now time.Time, id string, op tables.KeyOperation) tables.KeyOperation {
 	op.Done = true
-	s, held := r.tables.KeyShards.Get(tx, op.Claim.Key.Shard())
+	s, held := r.tables.KeyShards.Get(tx, r.config.ShardOf(op.Claim.Key))
 	if !held {
 		return op
 	}
@@ -124,7 +124,7 @@
 // grant decides a claim once the backup has answered.
 func (r home) grant(tx *blackboard.Tx, now time.Time, op tables.KeyOperation, reply tables.KeyReply) tables.KeyOperation {
 	op.Done = true
-	s, held := r.tables.KeyShards.Get(tx, op.Claim.Key.Shard())
+	s, held := r.tables.KeyShards.Get(tx, r.config.ShardOf(op.Claim.Key))
 	if !held || reply.Err != nil || reply.Ack != idempotency.Acked {
 		return op
 	}
@@ -154,7 +154,7 @@
 			result.After = left
 			return
 		}
-		if s, held := t.KeyShards.Get(tx, id.Shard()); held {
+		if s, held := t.KeyShards.Get(tx, r.config.ShardOf(id)); held {
 			t.KeyShards.Put(tx, s.Number, s.Expire(e))
 		}
 		t.KeyEntries.Delete(tx, id)
--- a/controllers/keymap/keymap.go
+++ b/controllers/keymap/keymap.go
@@ -91,7 +91,7 @@
 	t := c.Tables
 	t.KeyShards.Delete(tx, shard)
 	t.KeyEntries.Each(tx, func(id idempotency.ID, _ idempotency.Entry) bool {
-		if id.Shard() == shard {
+		if c.Config.ShardOf(id) == shard {
 			t.KeyEntries.Delete(tx, id)
 		}
 		return true
@@ -101,7 +101,7 @@
 // Skip forgets everything: this node may have been replaced unseen.
 func (c Consumer) Skip(tx *blackboard.Tx, offset uint64) {
 	row := c.Tables.KeyMap.Get(tx)
-	for shard := range idempotency.Shards {
+	for shard := range c.Config.Shards {
 		_, held := c.Tables.KeyShards.Get(tx, shard)
 		c.drop(tx, shard, held)
 	}
--- a/controllers/keyplan/keyplan.go
+++ b/controllers/keyplan/keyplan.go
@@ -65,7 +65,7 @@
 	t := r.tables
 	view := r.view(tx)
 	plan := t.KeyPlan.Get(tx)
-	for shard := range idempotency.Shards {
+	for shard := range r.config.Keys.Shards {
 		lost := view.Lost(shard)
 		switch {
 		case !lost:
--- a/controllers/keysync/keysync.go
+++ b/controllers/keysync/keysync.go
@@ -68,15 +68,15 @@
 		return r.config.HeartbeatInterval
 	}
 	store := tables.KeyStore{Table: t.KeyEntries, Tx: tx}
-	s, message := s.Sync(now, store, func() []idempotency.ID { return keysOf(tx, t, shard) })
+	s, message := s.Sync(now, store, func() []idempotency.ID { return r.keysOf(tx, shard) })
 	t.KeyShards.Put(tx, shard, s)
 	t.KeySends.Put(tx, id, tables.KeySend{Address: peer.PeerAddress, Replicate: message})
 	return 0
 }
 
-func keysOf(tx *blackboard.Tx, t *tables.Tables, shard int) (keys []idempotency.ID) {
-	t.KeyEntries.Each(tx, func(id idempotency.ID, _ idempotency.Entry) bool {
-		if id.Shard() == shard {
+func (r syncer) keysOf(tx *blackboard.Tx, shard int) (keys []idempotency.ID) {
+	r.tables.KeyEntries.Each(tx, func(id idempotency.ID, _ idempotency.Entry) bool {
+		if r.config.ShardOf(id) == shard {
 			keys = append(keys, id)
 		}
 		return true
--- a/decide/idempotency/assignment.go
+++ b/decide/idempotency/assignment.go
@@ -81,8 +81,8 @@
 	// retained; zero when the stream was read from its start. Nothing is known
 	// of the node's own part in what came before.
 	Skipped     uint64
-	Assignments [Shards]Assignment
-	unproved    [Shards][]unproved
+	Assignments [MaxShards]Assignment
+	unproved    [MaxShards][]unproved
 }
 
 // Unproved returns the number of records of a shard that are not known to have
@@ -100,7 +100,7 @@
 	}
 	m.Offset = offset
 	for _, c := range r.Changes {
-		if c.Shard >= 0 && c.Shard < Shards {
+		if c.Shard >= 0 && c.Shard < MaxShards {
 			m.fold(offset, c)
 		}
 	}
--- a/decide/idempotency/key.go
+++ b/decide/idempotency/key.go
@@ -21,9 +21,8 @@
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 )
 
-// Shards is the number of shards of the key space. It is part of the protocol:
-// nodes that differ in it cannot work together.
-const Shards = 64
+// MaxShards bounds the number of shards of the key space.
+const MaxShards = 64
 
 // MaxKeyBytes bounds an idempotency key as callers send it.
 const MaxKeyBytes = 255
@@ -42,9 +41,6 @@
 	return ID(hash([]byte(name), []byte(key)))
 }
 
-// Shard returns the shard that the key belongs to.
-func (id ID) Shard() int { return int(id[0]) % Shards }
-
 // Digest stands for the content of a request.
 type Digest string
 
@@ -84,6 +80,9 @@
 
 // Config sets the protocol up. All nodes must have the same values.
 type Config struct {
+	// Shards is the number of shards of the key space, 1 to MaxShards. More of
+	// them spread the load over more nodes, and each costs a heartbeat.
+	Shards int
 	// Window is how long a key is remembered after it was granted. Memory and
 	// the quarantine after a double loss grow with it.
 	Window time.Duration
@@ -123,6 +122,7 @@
 // DefaultConfig returns the values that nodes use.
 func DefaultConfig() Config {
 	return Config{
+		Shards:              32,
 		Window:              10 * time.Minute,
 		Lease:               10 * time.Minute,
 		GrantLife:           10 * time.Second,
@@ -133,12 +133,15 @@
 		ReportFor:           30 * time.Second,
 		KeepInterval:        15 * time.Minute,
 		Patience:            time.Second,
-		HeartbeatInterval:   time.Second,
-		FailAfter:           4 * time.Second,
+		HeartbeatInterval:   2 * time.Second,
+		FailAfter:           6 * time.Second,
 		FreshAfter:          15 * time.Second,
 	}
 }
 
+// ShardOf returns the shard that a key belongs to.
+func (c Config) ShardOf(id ID) int { return int(id[0]) % c.Shards }
+
 // quarantine is how long after the record of a fresh start a key granted
 // before it may still be within its window.
 func (c Config) quarantine() time.Duration {
--- a/decide/idempotency/plan.go
+++ b/decide/idempotency/plan.go
@@ -18,10 +18,10 @@
 	Self Holder
 	Map  Map
 	// LinkedAt is when each shard's last record was read.
-	LinkedAt [Shards]time.Time
+	LinkedAt [MaxShards]time.Time
 	// LostSince is since when each shard has had no holder that could go on, as
 	// far as this node sees; zero while it has one.
-	LostSince [Shards]time.Time
+	LostSince [MaxShards]time.Time
 	// Held returns a shard that this node holds.
 	Held func(shard int) (Shard, bool)
 	// Members has every member known, this node included.
@@ -70,7 +70,7 @@
 		return nil // it has not heard of others yet
 	}
 	var changes []Change
-	for shard := range Shards {
+	for shard := range c.Shards {
 		if change, wanted := v.plan(now, c, shard); wanted {
 			changes = append(changes, change)
 		}
--- a/encoding/keys/codec.go
+++ b/encoding/keys/codec.go
@@ -77,7 +77,7 @@
 
 // ToReplicate decodes a message to a backup; false says that it is malformed.
 func ToReplicate(m *ReplicateRequest) (*idempotency.Replicate, bool) {
-	ok := m.GetShard() >= 0 && m.GetShard() < idempotency.Shards
+	ok := m.GetShard() >= 0 && m.GetShard() < idempotency.MaxShards
 	copies := make([]idempotency.Copied, len(m.GetEntries()))
 	for i, e := range m.GetEntries() {
 		ok = ok && len(e.GetKey()) == idBytes
--- a/tables/keys.go
+++ b/tables/keys.go
@@ -11,7 +11,7 @@
 type KeyMap struct {
 	Map idempotency.Map
 	// LinkedAt is when each shard's last record was read.
-	LinkedAt [idempotency.Shards]time.Time
+	LinkedAt [idempotency.MaxShards]time.Time
 	// AskedAt is when the read under way was asked for.
 	AskedAt time.Time
 	// Confirmed is when the log was last known to have no later record.
@@ -21,7 +21,7 @@
 // KeyPlan is what a node remembers between two plans of holders.
 type KeyPlan struct {
 	// LostSince is since when each shard has had no holder; zero while it has.
-	LostSince [idempotency.Shards]time.Time
+	LostSince [idempotency.MaxShards]time.Time
 	// Wait is when to plan again at the earliest, after a record was written.
 	Wait time.Time
 }
