--- a/front/operator/submit.go
+++ b/front/operator/submit.go
@@ -6,7 +6,7 @@
 
 	"github.com/kataras/iris/v12"
 
-	"github.com/marigoldshelf/marigoldshelf/blackboard"
+	submitting "github.com/marigoldshelf/marigoldshelf/controllers/submit"
 	"github.com/marigoldshelf/marigoldshelf/decide/change"
 	"github.com/marigoldshelf/marigoldshelf/decide/submit"
 	"github.com/marigoldshelf/marigoldshelf/encoding/record"
@@ -76,7 +76,7 @@
 	ID    string       `json:"id"`
 	State submit.State `json:"state"`
 	// Outcome is what the record did, or why it was refused; nil when the
-	// state is not_in_log or unknown.
+	// state is not_appended or unknown.
 	Outcome *change.Outcome `json:"outcome,omitempty"`
 	// Digest is that of the proposal, in the answer to a propose request.
 	Digest string `json:"digest,omitempty"`
@@ -134,9 +134,9 @@
 	case submit.InLog, submit.Refused:
 		answer.Outcome = &s.Outcome
 		status = a.outcomeStatus(s.Outcome)
-	case submit.NotInLog:
+	case submit.NotAppended:
 		status = http.StatusServiceUnavailable
-		a.Meter.Count(refusedEvent, verdict.Reason(submit.NotInLog))
+		a.Meter.Count(refusedEvent, verdict.Reason(submit.NotAppended))
 	default:
 		status = http.StatusAccepted
 		a.Meter.Count(refusedEvent, verdict.Reason(submit.Unknown))
@@ -167,7 +167,7 @@
 // await submits a record and waits for its end. It reports false when the node
 // has too many under way.
 func (a *API) await(ctx context.Context, r change.Record) (submit.Submission, bool) {
-	begun, taken := a.begin(r)
+	begun, taken := submitting.Take(a.Tables, r, a.Clock.Now().Add(submitTimeout))
 	if !taken || begun.State != submit.Pending {
 		return begun, taken
 	}
@@ -180,23 +180,3 @@
 	}
 	return s, true
 }
-
-// begin puts the record into the table, or joins the request that submitted it
-// before. It returns how the record ends when that is known already.
-func (a *API) begin(r change.Record) (s submit.Submission, taken bool) {
-	t := a.Tables
-	deadline := a.Clock.Now().Add(submitTimeout)
-	t.Board.Do(func(tx *blackboard.Tx) {
-		var known bool
-		if s, known = submit.Known(t.Changes.Get(tx), r); known {
-			taken = true
-			return
-		}
-		earlier, found := t.Submissions.Get(tx, r.ID)
-		s, taken = submit.Join(earlier, found, t.Submissions.Len(tx), r, deadline)
-		if taken && s.State == submit.Pending {
-			t.Submissions.Put(tx, r.ID, s)
-		}
-	}, t.Changes.Read(), t.Submissions.Write())
-	return s, taken
-}
