--- a/settings/settings.go
+++ b/settings/settings.go
@@ -11,6 +11,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -30,6 +31,7 @@
 	Peers    Peers        `json:"peers"`
 	Backend  Backend      `json:"backend"`
 	Platform Platform     `json:"platform"`
+	Traffic  Traffic      `json:"traffic"`
 	Logins   []Credential `json:"credentials"`
 	// Workers is the number of workers of the controllers' pool, 1 to 256.
 	// Default 4.
@@ -73,11 +75,35 @@
 	Slots int `json:"slots"`
 	// Connections bounds the connections to it, 1 to 65535. Default 130.
 	Connections int `json:"connections"`
+	// NotRunHeader is the name of a header by which its own answers 429 and
+	// 503 promise that the request was not run. Default none: such an answer
+	// is passed on and never retried.
+	NotRunHeader string `json:"not_run_header,omitempty"`
 	// Queue is the number of requests that may wait for a slot, 0 to 65535.
 	// Default twice the slots.
 	Queue *int `json:"queue"`
 }
 
+// Traffic bounds callers' requests.
+type Traffic struct {
+	// BodyIdleMillis is the longest pause between the bytes of a body, in
+	// milliseconds, 100 to 600,000. Longer ones hold connections of senders
+	// that are gone. Default 30,000.
+	BodyIdleMillis int `json:"body_idle_ms"`
+	// StopLimitMillis is how long a planned stop waits for what is under way
+	// before it tells the operator, in milliseconds, 1,000 to 86,400,000.
+	// Default 600,000.
+	StopLimitMillis int `json:"stop_limit_ms"`
+}
+
+// BodyIdle is the longest pause between the bytes of a body.
+func (t Traffic) BodyIdle() time.Duration { return time.Duration(t.BodyIdleMillis) * time.Millisecond }
+
+// StopLimit is when the operator is told of a planned stop that still waits.
+func (t Traffic) StopLimit() time.Duration {
+	return time.Duration(t.StopLimitMillis) * time.Millisecond
+}
+
 // Platform says where the platform's log service is.
 type Platform struct {
 	// URL is its address, such as "http://10.0.0.5:7000". Required.
@@ -119,6 +145,12 @@
 	defaultWorkers     = 4
 	defaultIOWorkers   = 16
 	defaultConnections = 130
+	defaultBodyIdle    = 30_000
+	defaultStopLimit   = 600_000
+	minBodyIdle        = 100
+	maxBodyIdle        = 600_000
+	minStopLimit       = 1_000
+	maxStopLimit       = 86_400_000
 	minTokenLength     = 16
 	maxSeeds           = 64
 	maxWorkers         = 256
@@ -165,6 +197,12 @@
 	if s.Backend.Connections == 0 {
 		s.Backend.Connections = defaultConnections
 	}
+	if s.Traffic.BodyIdleMillis == 0 {
+		s.Traffic.BodyIdleMillis = defaultBodyIdle
+	}
+	if s.Traffic.StopLimitMillis == 0 {
+		s.Traffic.StopLimitMillis = defaultStopLimit
+	}
 	if s.Backend.Queue == nil {
 		queue := 2 * s.Backend.Slots
 		s.Backend.Queue = &queue
@@ -186,6 +224,8 @@
 	c.between("backend.connections", s.Backend.Connections, 1, maxCount)
 	c.between("backend.queue", *s.Backend.Queue, 0, maxCount)
 	c.url("platform.url", s.Platform.URL)
+	c.between("traffic.body_idle_ms", s.Traffic.BodyIdleMillis, minBodyIdle, maxBodyIdle)
+	c.between("traffic.stop_limit_ms", s.Traffic.StopLimitMillis, minStopLimit, maxStopLimit)
 	for i, login := range s.Logins {
 		c.credential("credentials["+strconv.Itoa(i)+"]", login)
 	}
