A reader whose log fails asks the other zones first

Cause: a zone cut off from the platform only, its readers asked each other first; the answers were empty but not false, and only two minutes of silence made a reader move on. Ruled out: the pause after a failed read of the log. Now a reader's list begins with the readers of the other zones.

--- a/decide/spread/assign.go
+++ b/decide/spread/assign.go
@@ -48,7 +48,10 @@
 	Reader bool
 	// Parent is the node to ask first, by the zone's tree; empty for a reader.
 	Parent Source
-	// Sources are the readers to ask, those of the own zone first.
+	// Sources are the readers to ask, those of the own zone first. A reader
+	// asks only while the log does not help it, and then its zone is most
+	// likely cut off from the platform as a whole: its list begins with the
+	// readers of the other zones.
 	Sources []Source
 	// Witnesses are the nodes that may hold what this host served: the other
 	// members of the zone and the readers of the other zones.
@@ -102,7 +105,11 @@
 		role.Parent = Source{Host: parent.Host, Address: parent.PeerAddress}
 	}
 	others := readersElsewhere(self, byZone, c)
-	role.Sources = toSources(self, rotated(self, head(zone, c.Readers)), others)
+	near := rotated(self, head(zone, c.Readers))
+	role.Sources = toSources(self, near, others)
+	if role.Reader {
+		role.Sources = toSources(self, others, near)
+	}
 	role.Witnesses = toSources(self, zone, others)
 	return role
 }
