--- /dev/null
+++ b/encoding/record/record_test.go
@@ -0,0 +1,55 @@
+package record_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/marigoldshelf/marigoldshelf/decide/change"
+	"github.com/marigoldshelf/marigoldshelf/encoding/record"
+	"github.com/marigoldshelf/marigoldshelf/mesh"
+)
+
+// The form of a record never changes: what one build writes every other reads.
+func TestChangeRecordFormIsFixed(t *testing.T) {
+	r := change.Record{ID: "p", Kind: change.Propose, By: change.Principal{Name: "nadia", Role: change.Operator},
+		AtMillis: 5, Proposal: "p", Base: 7, Reason: "<new>", Edits: &mesh.Edits{
+			PutHosts: []mesh.Host{{ID: "fes-1", Zone: "fes", Service: "desk"}}, DeleteRules: []string{"r"}}}
+	form := `{"id":"p","kind":"propose","by":{"name":"nadia","role":"operator"},"at_ms":5,"proposal":"p","base":7,` +
+		`"edits":{"put_hosts":[{"id":"fes-1","zone":"fes","service":"desk"}],"delete_rules":["r"]},"reason":"\u003cnew\u003e"}`
+	data, err := record.EncodeChange(r)
+	must.NoError(t, err)
+	must.Eq(t, form, string(data))
+	back, err := record.DecodeChange([]byte(form))
+	must.NoError(t, err)
+	must.Eq(t, r, back)
+	_, err = record.DecodeChange([]byte(form + form))
+	must.Error(t, err)
+	_, err = record.DecodeChange([]byte(`{"id":"p","kinds":"propose"}`))
+	must.Error(t, err)
+}
+
+// FuzzDecodeChange: whatever is read can be folded, and is the same record
+// after it was written and read again.
+func FuzzDecodeChange(f *testing.F) {
+	f.Add([]byte(`{"id":"p","kind":"propose","by":{"role":"operator"},"proposal":"p","edits":{"put_services":[{"name":"a","customer":"c"}]}}`))
+	f.Add([]byte(`{"id":"p","kind":"approve","by":{"role":"customer"},"proposal":"x","digest":"0"}`))
+	f.Add([]byte(`{"ID":"p","id":"q","kind":"\ud800","edits":{"put_rules":[{"id":"","path_prefix":"//.."}]}}`))
+	f.Add([]byte(`[]`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r, err := record.DecodeChange(data)
+		if err != nil {
+			return
+		}
+		state, first := change.State{}.Apply(1, r)
+		must.Eq(t, uint64(1), state.Offset)
+		encoded, err := record.EncodeChange(r)
+		must.NoError(t, err)
+		again, err := record.DecodeChange(encoded)
+		must.NoError(t, err)
+		must.Eq(t, change.Fingerprint(r), change.Fingerprint(again))
+		same, second := change.State{}.Apply(1, again)
+		must.Eq(t, first, second)
+		must.Eq(t, state, same)
+	})
+}
