The command line: registers, rules, proposals and their ends

register and rules stage an operator's files in a draft file beside them; propose sends the draft's edits, not whole files, under an ID that the draft keeps until the end is known, so that a proposal whose answer was lost is sent again as it was.

TestExitCodeSaysWhetherAChangeWasMade failed first: the exit code of a refusal was 1, since the library's As does not find a pointer type that the standard library's does.

--- /dev/null
+++ b/cmd/marigold/check.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"github.com/marigoldshelf/marigoldshelf/decide/route"
+	"github.com/marigoldshelf/marigoldshelf/encoding/register"
+	"github.com/marigoldshelf/marigoldshelf/mesh"
+	"github.com/marigoldshelf/marigoldshelf/settings"
+)
+
+type checkCommand struct {
+	Settings string `type:"existingfile" help:"Settings file of a node."`
+	Register string `type:"existingfile" help:"Asset register."`
+	Rules    string `type:"existingfile" help:"Rules; checked against the register."`
+}
+
+// Help shows an example.
+func (checkCommand) Help() string {
+	return "Example: marigold check --settings node.json --register register.json --rules rules.json"
+}
+
+// checked is what --json prints.
+type checked struct {
+	Faults route.Faults `json:"faults"`
+}
+
+// Run checks the files and lists every fault.
+func (c *checkCommand) Run(l *commandLine) error {
+	faults := append(c.checkSettings(), c.checkConfig()...)
+	if l.JSON {
+		if err := l.printJSON(checked{Faults: append(route.Faults{}, faults...)}); err != nil {
+			return err
+		}
+	} else if len(faults) == 0 {
+		l.print("No faults.")
+	} else {
+		l.printFaults(faults)
+	}
+	if len(faults) > 0 {
+		return &failure{exitFailed, ""}
+	}
+	return nil
+}
+
+func (c *checkCommand) checkSettings() route.Faults {
+	if c.Settings == "" {
+		return nil
+	}
+	if _, err := settings.Load(c.Settings); err != nil {
+		return route.Faults{{Where: c.Settings, What: err.Error()}}
+	}
+	return nil
+}
+
+func (c *checkCommand) checkConfig() (faults route.Faults) {
+	var config mesh.Config
+	if c.Register != "" {
+		parsed, err := readFile(c.Register, register.ParseRegister)
+		if err != nil {
+			return route.Faults{{Where: c.Register, What: err.Error()}}
+		}
+		faults = append(faults, parsed.Faults()...)
+		config = parsed.Apply(config)
+	}
+	if c.Rules != "" {
+		parsed, err := readFile(c.Rules, register.ParseRules)
+		if err != nil {
+			return append(faults, route.Fault{Where: c.Rules, What: err.Error()})
+		}
+		faults = append(faults, parsed.Faults()...)
+		config = parsed.Apply(config)
+	}
+	return append(faults, route.Check(config)...)
+}
--- /dev/null
+++ b/cmd/marigold/drain.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"net/http"
+
+	"github.com/marigoldshelf/marigoldshelf/front/operator"
+	"github.com/marigoldshelf/marigoldshelf/mesh"
+)
+
+type drainCommand struct {
+	Host mesh.HostID `arg:"" help:"The host, which must be that of the node asked (--node)."`
+	Undo bool        `help:"End the drain."`
+}
+
+// Help shows an example.
+func (drainCommand) Help() string {
+	return "Example: marigold --node http://10.1.0.7:7300 drain fes-1\n\n" +
+		"Requests under way end; no new work comes. The drain lasts until --undo or the node's restart."
+}
+
+// drainReport is what --json prints.
+type drainReport struct {
+	Command string            `json:"command"`
+	Result  result            `json:"result"`
+	Answer  *operator.Drained `json:"answer,omitempty"`
+	Error   string            `json:"error,omitempty"`
+}
+
+// Run begins or ends the drain.
+func (c *drainCommand) Run(l *commandLine) error {
+	r := c.send(l)
+	code := map[result]int{made: exitDone, unmade: exitNotMade, mayBeMade: exitMayBeMade}[r.Result]
+	if l.JSON {
+		if err := l.printJSON(r); err != nil {
+			return err
+		}
+		return asFailure(code, "")
+	}
+	switch {
+	case r.Result == mayBeMade:
+		l.print("It may have been made: %s. Ask with marigold status, or repeat the command.", r.Error)
+	case r.Result == unmade:
+		l.print("Not made: %s", r.Error)
+	case r.Answer.Draining:
+		l.print("Host %s is draining.", c.Host)
+	default:
+		l.print("Host %s takes work.", c.Host)
+	}
+	return asFailure(code, "")
+}
+
+func (c *drainCommand) send(l *commandLine) drainReport {
+	path := "/v1/drain"
+	if c.Undo {
+		path = "/v1/undrain"
+	}
+	out := drainReport{Command: "drain", Result: unmade}
+	answer, sent, err := l.request(http.MethodPost, path, operator.DrainRequest{Host: c.Host})
+	switch {
+	case err != nil:
+		out.Error = err.Error()
+		if sent {
+			out.Result = mayBeMade
+		}
+	case answer.status != http.StatusOK:
+		out.Error = answer.problem()
+	default:
+		out.Answer = new(operator.Drained)
+		out.Result = made
+		if err := l.decode(answer, out.Answer); err != nil {
+			out.Result, out.Error = mayBeMade, err.Error()
+		}
+	}
+	return out
+}
--- a/cmd/marigold/main.go
+++ b/cmd/marigold/main.go
@@ -2,107 +2,105 @@
 package main
 
 import (
-	"bytes"
-	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
-	"time"
 
 	"github.com/alecthomas/kong"
-	"github.com/rotisserie/eris"
+)
 
-	"github.com/marigoldshelf/marigoldshelf/front/operator"
-	"github.com/marigoldshelf/marigoldshelf/mesh"
+// The exit codes.
+const (
+	exitDone      = 0 // the change was made, or the question answered
+	exitFailed    = 1 // a question was not answered, or a check found faults
+	exitUsage     = 2 // the command line is wrong; nothing was sent
+	exitNotMade   = 3 // the change was not made
+	exitMayBeMade = 4 // the change may have been made; the output says how to ask
 )
 
-// requestTimeout bounds one request to a node.
-const requestTimeout = 15 * time.Second
+const description = `Keep the routing configuration of a service mesh: edit the asset register and
+the rules, propose the change, let its customers approve it, release it.
 
-type commandLine struct {
-	Node  string `default:"http://127.0.0.1:7300" env:"MARIGOLD_NODE" help:"URL of a node's operators' listener."`
-	Token string `env:"MARIGOLD_TOKEN" help:"Credential."`
+  marigold register register.json       stage an edited register
+  marigold rules rules.json             stage edited rules
+  marigold propose                      propose what is staged
+  marigold diff p1                      what p1 changes, and its digest
+  marigold approve p1 --digest D        as its customer
+  marigold release p1                   put it in force
 
-	Status   getCommand     `cmd:"" help:"Show the node, its version and its members."`
-	Propose  proposeCommand `cmd:"" help:"Propose a configuration."`
-	Approve  answerCommand  `cmd:"" help:"Approve a proposal, as its customer."`
-	Veto     answerCommand  `cmd:"" help:"Veto a proposal, as its customer."`
-	Release  answerCommand  `cmd:"" help:"Put an approved proposal in force."`
-	Withhold answerCommand  `cmd:"" help:"Close a proposal without releasing it."`
-	Measure  measureCommand `cmd:"" help:"Send load at given rates and report what came of it."`
-}
+Exit codes: 0 made or answered, 1 a question failed, 2 usage, 3 the change was
+not made, 4 it may have been made (the output says how to ask).`
 
-func main() {
-	var line commandLine
-	parsed := kong.Parse(&line, kong.Name("marigold"), kong.UsageOnError())
-	parsed.FatalIfErrorf(parsed.Run(&line, parsed.Command()))
-}
+type commandLine struct {
+	Node  string `default:"http://127.0.0.1:7300" env:"MARIGOLD_NODE" help:"URL of a node's operators' listener."`
+	Token string `env:"MARIGOLD_TOKEN" help:"Credential; better given by the environment."`
+	JSON  bool   `name:"json" help:"Print JSON."`
+	Draft string `default:"marigold-draft.json" env:"MARIGOLD_DRAFT" type:"path" help:"File that keeps what is staged."`
 
-type getCommand struct{}
+	Register registerCommand `cmd:"" help:"Stage an edited asset register; without a file, print the one in force."`
+	Rules    rulesCommand    `cmd:"" help:"Stage edited rules; without a file, print those in force."`
+	Propose  proposeCommand  `cmd:"" help:"Propose what is staged, or the files given."`
+	Approve  approveCommand  `cmd:"" help:"Approve a proposal, as a customer concerned."`
+	Veto     vetoCommand     `cmd:"" help:"Veto a proposal, as a customer concerned."`
+	Release  releaseCommand  `cmd:"" help:"Put an approved proposal in force."`
+	Withhold withholdCommand `cmd:"" help:"Close a proposal without releasing it."`
+	Status   statusCommand   `cmd:"" help:"Show zones, versions, members, slots, refusals and the platform."`
+	Diff     diffCommand     `cmd:"" help:"Show what a proposal changes in routes and resources."`
+	History  historyCommand  `cmd:"" help:"Show the proposals and what was said to them, or what became of one record."`
+	Watch    watchCommand    `cmd:"" help:"Show changes as they come, until interrupted."`
+	Drain    drainCommand    `cmd:"" help:"Let a host's backend server take no new work; its node must be the one asked."`
+	Check    checkCommand    `cmd:"" help:"Check files without a node."`
+	Measure  measureCommand  `cmd:"" help:"Send load at given rates and report what came of it."`
 
-// Run prints the node's status.
-func (getCommand) Run(line *commandLine) error {
-	return line.do(http.MethodGet, "/v1/status", nil)
+	out io.Writer
 }
 
-type proposeCommand struct {
-	File string       `arg:"" help:"Configuration file (JSON): services, hosts, rules."`
-	Base mesh.Version `help:"Version that the file was made from."`
-	ID   string       `help:"ID of the proposal; made up when left out."`
-}
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
-// Run submits the proposal.
-func (c *proposeCommand) Run(line *commandLine) error {
-	data, err := os.ReadFile(c.File)
+// run does one command and returns its exit code.
+func run(args []string, out, errs io.Writer) int {
+	line := commandLine{out: out}
+	exited := -1
+	parser, err := kong.New(&line, kong.Name("marigold"), kong.Description(description),
+		kong.Writers(out, errs), kong.Exit(func(code int) { exited = code }), kong.ConfigureHelp(kong.HelpOptions{NoExpandSubcommands: true}))
 	if err != nil {
-		return eris.Wrap(err, "propose")
+		fmt.Fprintln(errs, "marigold:", err)
+		return exitUsage
 	}
-	request := operator.ProposeRequest{ID: c.ID, Base: c.Base}
-	if err := json.Unmarshal(data, &request.Config); err != nil {
-		return eris.Wrap(err, "propose")
+	parsed, err := parser.Parse(args)
+	if exited >= 0 {
+		return exited
 	}
-	return line.do(http.MethodPost, "/v1/proposals", request)
+	if err != nil {
+		fmt.Fprintln(errs, "marigold:", err)
+		return exitUsage
+	}
+	return exitCode(parsed.Run(&line), errs)
 }
 
-type answerCommand struct {
-	Proposal string `arg:"" help:"ID of the proposal."`
-	Digest   string `help:"Digest of the proposal's content, to approve or veto."`
-	Reason   string `help:"Why, to veto or withhold."`
+// failure is an error with its exit code.
+type failure struct {
+	code int
+	text string
 }
 
-// Run submits the answer; the verb is the command's own name.
-func (c *answerCommand) Run(line *commandLine, command string) error {
-	var verb string
-	fmt.Sscan(command, &verb)
-	request := operator.AnswerRequest{Digest: c.Digest, Reason: c.Reason}
-	return line.do(http.MethodPost, "/v1/proposals/"+c.Proposal+"/"+verb, request)
-}
+// Error returns the text.
+func (f *failure) Error() string { return f.text }
 
-// do sends one request and prints its answer.
-func (l *commandLine) do(method, path string, body any) error {
-	data, err := json.Marshal(body)
-	if err != nil {
-		return eris.Wrap(err, "encode")
-	}
-	request, err := http.NewRequest(method, l.Node+path, bytes.NewReader(data))
-	if err != nil {
-		return eris.Wrap(err, "request")
-	}
-	request.Header.Set("Authorization", "Bearer "+l.Token)
-	request.Header.Set("Content-Type", "application/json")
-	client := &http.Client{Timeout: requestTimeout}
-	response, err := client.Do(request)
-	if err != nil {
-		return eris.Wrap(err, "request")
+func notMade(text string) error { return &failure{exitNotMade, text} }
+
+// exitCode prints the error, if there is one, and returns its code.
+func exitCode(err error, errs io.Writer) int {
+	if err == nil {
+		return exitDone
 	}
-	defer response.Body.Close()
-	if _, err := io.Copy(os.Stdout, response.Body); err != nil {
-		return eris.Wrap(err, "read answer")
+	var f *failure
+	if !errors.As(err, &f) {
+		f = &failure{exitFailed, err.Error()}
 	}
-	fmt.Println()
-	if response.StatusCode >= http.StatusBadRequest {
-		return eris.Errorf("the node answered %s", response.Status)
+	if f.text != "" {
+		fmt.Fprintln(errs, "marigold:", f.text)
 	}
-	return nil
+	return f.code
 }
--- /dev/null
+++ b/cmd/marigold/show.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/marigoldshelf/marigoldshelf/decide/change"
+	"github.com/marigoldshelf/marigoldshelf/decide/submit"
+	"github.com/marigoldshelf/marigoldshelf/front/operator"
+)
+
+type diffCommand struct {
+	Proposal string `arg:"" help:"ID of an open proposal."`
+}
+
+// Help shows an example.
+func (diffCommand) Help() string { return "Example: marigold diff p1" }
+
+// Run shows what the proposal changes.
+func (c *diffCommand) Run(l *commandLine) error {
+	var d operator.Diff
+	printed, err := l.query("/v1/proposals/"+url.PathEscape(c.Proposal)+"/diff", &d)
+	if printed || err != nil {
+		return err
+	}
+	l.print("Proposal %s, made from version %d:", d.Proposal, d.Base)
+	l.printView(d.View)
+	l.print("Approved by: %s", orNobody(join(d.Approved)))
+	l.print("Digest: %s", d.Digest)
+	return nil
+}
+
+func orNobody(text string) string {
+	if text == "" {
+		return "nobody yet"
+	}
+	return text
+}
+
+type historyCommand struct {
+	Record string `help:"Tell what became of the record with this ID."`
+}
+
+// Help shows an example.
+func (historyCommand) Help() string {
+	return "Examples: marigold history; marigold history --record 6d0c..."
+}
+
+// Run shows the proposals, or one record.
+func (c *historyCommand) Run(l *commandLine) error {
+	if c.Record != "" {
+		return l.showRecord(c.Record)
+	}
+	var list []change.Proposal
+	printed, err := l.query("/v1/proposals", &list)
+	if printed || err != nil {
+		return err
+	}
+	for _, p := range list {
+		l.printProposal(p)
+	}
+	return nil
+}
+
+func (l *commandLine) showRecord(id string) error {
+	var r operator.Recorded
+	printed, err := l.query("/v1/records/"+url.PathEscape(id), &r)
+	if printed || err != nil {
+		return err
+	}
+	switch {
+	case r.State == submit.InLog && r.Outcome.Accepted:
+		l.print("Record %s is in the log at %d and was accepted.", id, r.Offset)
+	case r.State == submit.InLog:
+		l.print("Record %s is in the log at %d and was refused: %s (%s)", id, r.Offset, r.Outcome.Detail, r.Outcome.Refusal)
+	case r.State == submit.Pending:
+		l.print("Record %s is on its way.", id)
+	default:
+		l.print("Record %s is not among those this node has read, up to %d.", id, r.Offset)
+	}
+	return nil
+}
+
+func (l *commandLine) printProposal(p change.Proposal) {
+	l.print("%6d  %s  %s by %s, %d edits of version %d; needs %s", p.Offset, instant(p.AtMillis), p.ID, p.By.Name, p.EditCount, p.Base, join(p.Needs))
+	for _, a := range p.Answers {
+		note := a.Reason
+		if a.Late {
+			note = "after the release, changed nothing: " + note
+		}
+		l.print("%6d  %s    %s by %s  %s", a.Offset, instant(a.AtMillis), a.Kind, a.By.Name, note)
+	}
+	switch p.Status {
+	case change.Open:
+		l.print("                                open, missing: %s", join(p.Missing()))
+	case change.Released:
+		l.print("                                released as version %d", p.ClosedAt)
+	case change.Stale:
+		l.print("                                overtaken by version %d", p.ClosedAt)
+	default:
+		l.print("                                %s", p.Status)
+	}
+}
+
+// instant writes the instant that a node noted, in UTC.
+func instant(millis int64) string { return time.UnixMilli(millis).UTC().Format(time.DateTime) }
+
+type watchCommand struct {
+	After uint64 `help:"Show what came after this offset; all that is kept when left out."`
+	Count int    `help:"Stop after so many answers; 0 is without end."`
+}
+
+// Help shows an example.
+func (watchCommand) Help() string {
+	return "Example: marigold watch --json\n\nThe node holds each request until something changes, at most 30 s."
+}
+
+// Run shows changes as they come.
+func (c *watchCommand) Run(l *commandLine) error {
+	after := c.After
+	for n := 0; c.Count == 0 || n < c.Count; n++ {
+		var w operator.Watched
+		asker := *l
+		asker.JSON = false
+		if _, err := asker.query("/v1/watch?after="+strconv.FormatUint(after, 10), &w); err != nil {
+			return err
+		}
+		if err := l.showWatched(w, after); err != nil {
+			return err
+		}
+		after = w.Offset
+	}
+	return nil
+}
+
+func (l *commandLine) showWatched(w operator.Watched, after uint64) error {
+	if w.Offset == after {
+		return nil
+	}
+	if l.JSON {
+		return l.printJSON(w)
+	}
+	l.print("Read to %d; version %d is decided, this node serves %d.", w.Offset, w.Version, w.InForce)
+	for _, p := range w.Proposals {
+		l.printProposal(p)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/marigold/status.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/marigoldshelf/marigoldshelf/front/operator"
+	"github.com/marigoldshelf/marigoldshelf/mesh"
+)
+
+type statusCommand struct{}
+
+// Help shows an example.
+func (statusCommand) Help() string { return "Example: marigold status" }
+
+// Run shows what the node knows on one screen.
+func (statusCommand) Run(l *commandLine) error {
+	var s operator.Status
+	printed, err := l.query("/v1/status", &s)
+	if printed || err != nil {
+		return err
+	}
+	l.print("Node %s in %s serves version %d; version %d is decided (log read to %d, %d proposals open).",
+		s.Host, s.Zone, s.Version, s.Decided, s.Offset, s.Open)
+	if s.Draining {
+		l.print("This host is draining.")
+	}
+	l.print("Platform: %s", platformText(s))
+	l.printZones(s)
+	l.printHosts(s)
+	l.printCounts(s)
+	return nil
+}
+
+func platformText(s operator.Status) string {
+	if s.Platform == "" {
+		return "no failed read at present"
+	}
+	return "does not answer: " + s.Platform
+}
+
+// printZones writes a line for each availability zone.
+func (l *commandLine) printZones(s operator.Status) {
+	states := make(map[mesh.Zone]map[mesh.MemberState]int)
+	for _, m := range s.Members {
+		if states[m.Zone] == nil {
+			states[m.Zone] = make(map[mesh.MemberState]int)
+		}
+		states[m.Zone][m.State]++
+	}
+	l.print("\nZone          alive  suspect  leaving  dead")
+	for _, z := range slices.Sorted(maps.Keys(states)) {
+		n := states[z]
+		l.print("%-12s  %5d  %7d  %7d  %4d", z, n[mesh.Alive], n[mesh.Suspect], n[mesh.Leaving], n[mesh.Dead])
+	}
+}
+
+// printHosts writes a line for each member: what is known of its version, and
+// the load it last reported to this node.
+func (l *commandLine) printHosts(s operator.Status) {
+	l.print("\nHost          zone          service       state    version   slots  busy  queued")
+	for _, m := range s.Members {
+		load := "    -     -       -"
+		if reported, known := s.Loads[m.Host]; known {
+			load = fmt.Sprintf("%5d  %4d  %6d", reported.Slots, reported.Busy, reported.Queued)
+		}
+		l.print("%-12s  %-12s  %-12s  %-7s  %-8s  %s", m.Host, m.Zone, m.Service, m.State, versionText(s, m.Host), load)
+	}
+}
+
+// versionText writes the version that a host said it serves, and marks one that
+// lags.
+func versionText(s operator.Status, host mesh.HostID) string {
+	version, known := s.Served[host]
+	switch {
+	case !known:
+		return "-"
+	case version < s.Decided:
+		return fmt.Sprintf("%d lags", version)
+	default:
+		return fmt.Sprint(version)
+	}
+}
+
+func (l *commandLine) printCounts(s operator.Status) {
+	if len(s.Counts) == 0 {
+		return
+	}
+	l.print("\nRefusals and retries at this node since its start")
+	for _, c := range s.Counts {
+		l.print("  %-16s  %-22s  %d", c.Event, c.Reason, c.Count)
+	}
+}
--- a/front/operator/status.go
+++ b/front/operator/status.go
@@ -29,12 +29,15 @@
 	Members []mesh.Member `json:"members"`
 	// Loads is the load last reported by each host, as far as this node asked.
 	Loads map[mesh.HostID]mesh.Load `json:"loads"`
+	// Served is the version that each host last told this node to serve.
+	Served map[mesh.HostID]mesh.Version `json:"served"`
 	// Counts has the node's counters of refusals and retries.
 	Counts []metrics.Counted `json:"counts"`
 }
 
 func (a *API) status(ctx iris.Context) {
-	answer := Status{Host: a.Self.Host, Zone: a.Self.Zone, Loads: map[mesh.HostID]mesh.Load{}, Counts: a.Meter.Counts()}
+	answer := Status{Host: a.Self.Host, Zone: a.Self.Zone, Loads: map[mesh.HostID]mesh.Load{},
+		Served: map[mesh.HostID]mesh.Version{}, Counts: a.Meter.Counts()}
 	a.configStatus(&answer)
 	a.fleetStatus(&answer)
 	ctx.JSON(answer)
@@ -71,6 +74,11 @@
 			answer.Loads[id] = l
 			return true
 		})
+		t.ServedVersions.Each(tx, func(id mesh.HostID, v mesh.Version) bool {
+			answer.Served[id] = v
+			return true
+		})
+		answer.Served[a.Self.Host] = answer.Version
 		answer.Draining = t.Drain.Get(tx).Draining
-	}, t.Members.Read(), t.Loads.Read(), t.Drain.Read())
+	}, t.Members.Read(), t.Loads.Read(), t.Drain.Read(), t.ServedVersions.Read())
 }
