--- a/cmd/marigold/main.go
+++ b/cmd/marigold/main.go
@@ -51,6 +51,7 @@
 	Watch    watchCommand    `cmd:"" help:"Show changes as they come, until interrupted."`
 	Drain    drainCommand    `cmd:"" help:"Let a host's backend server take no new work; its node must be the one asked."`
 	Check    checkCommand    `cmd:"" help:"Check files without a node."`
+	Simulate simulateCommand `cmd:"" help:"Run the request path's decisions against a queue model."`
 	Measure  measureCommand  `cmd:"" help:"Send load at given rates and report what came of it."`
 
 	out io.Writer
--- a/front/operator/status.go
+++ b/front/operator/status.go
@@ -5,6 +5,7 @@
 
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/decide/change"
+	"github.com/marigoldshelf/marigoldshelf/decide/choose"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/metrics"
 	"github.com/marigoldshelf/marigoldshelf/platform"
@@ -70,8 +71,8 @@
 			answer.Members = append(answer.Members, m)
 			return true
 		})
-		t.Loads.Each(tx, func(id mesh.HostID, l mesh.Load) bool {
-			answer.Loads[id] = l
+		t.Reports.Each(tx, func(id mesh.HostID, r choose.Report) bool {
+			answer.Loads[id] = r.Load
 			return true
 		})
 		t.ServedVersions.Each(tx, func(id mesh.HostID, v mesh.Version) bool {
@@ -80,5 +81,5 @@
 		})
 		answer.Served[a.Self.Host] = answer.Version
 		answer.Draining = t.Drain.Get(tx).Draining
-	}, t.Members.Read(), t.Loads.Read(), t.Drain.Read(), t.ServedVersions.Read())
+	}, t.Members.Read(), t.Reports.Read(), t.Drain.Read(), t.ServedVersions.Read())
 }
--- a/tables/order.go
+++ b/tables/order.go
@@ -42,14 +42,18 @@
 	rankContacts  blackboard.Rank = 270
 	rankMeeting   blackboard.Rank = 280
 	rankEndpoints blackboard.Rank = 300
-	rankLoads     blackboard.Rank = 310
+	rankReports   blackboard.Rank = 310
 	rankInFlight  blackboard.Rank = 320
+	rankServices  blackboard.Rank = 330
 
 	// Traffic: 400 to 499 callers' requests, 500 to 599 the admission point.
 	rankCalls      blackboard.Rank = 400
 	rankDrain      blackboard.Rank = 500
 	rankLimits     blackboard.Rank = 510
+	rankCapacity   blackboard.Rank = 515
 	rankAdmissions blackboard.Rank = 520
+	rankTimes      blackboard.Rank = 530
+	rankOccupancy  blackboard.Rank = 540
 
 	// Idempotency keys: 600 to 699.
 	rankClaims        blackboard.Rank = 600
@@ -70,6 +74,7 @@
 	rankMessagesIn   blackboard.Rank = 946
 	rankKeySends     blackboard.Rank = 960
 	rankKeyReplies   blackboard.Rank = 970
+	rankHedges       blackboard.Rank = 975
 
 	// The same, of distribution: 950 to 969.
 	rankAsks          blackboard.Rank = 950
