--- a/controllers/follow/snapshots.go
+++ b/controllers/follow/snapshots.go
@@ -64,7 +64,8 @@
 // Wanted reports whether this node reads snapshots.
 func (s Snapshots) Wanted(tx *blackboard.Tx) bool {
 	role := s.Tables.Role.Get(tx)
-	return role.Reader && s.Tables.Feed.Get(tx).Lost || role.WriterRank < s.Writers
+	writer := role.WriterRank > 0 && role.WriterRank <= s.Writers
+	return writer || role.Reader && s.Tables.Feed.Get(tx).Lost
 }
 
 // Observe implements logread.Follower.
--- a/controllers/snapwrite/snapwrite.go
+++ b/controllers/snapwrite/snapwrite.go
@@ -107,7 +107,7 @@
 		t.SnapshotDuty.Set(tx, duty)
 	}
 	facts := snapshot.Facts{
-		Rank: t.Role.Get(tx).WriterRank, Offset: offset, CountedAt: duty.CountedAt, Started: w.config.Started,
+		Rank: t.Role.Get(tx).WriterRank - 1, Offset: offset, CountedAt: duty.CountedAt, Started: w.config.Started,
 	}
 	at, ever := w.config.Policy.DueAt(shelf, facts)
 	if !ever {
--- a/decide/snapshot/snapshot_test.go
+++ b/decide/snapshot/snapshot_test.go
@@ -30,6 +30,7 @@
 	s := add(snapshot.Shelf{}, a.Chunk(0), b.Chunk(2), a.Chunk(1), a.Chunk(1), a.Chunk(2))
 	must.Eq(t, a, s.Best)
 	s = add(s, late.Chunk(0), late.Chunk(1), late.Chunk(2), a.Chunk(0))
+	s = add(s, snapshot.New(5, []byte("one chunk, late")).Chunk(0))
 	must.Eq(t, a, s.Best)
 	s = add(s, b.Chunk(0), made(30, 4).Chunk(0), b.Chunk(1))
 	must.Eq(t, b, s.Best)
--- a/decide/spread/assign.go
+++ b/decide/spread/assign.go
@@ -22,6 +22,9 @@
 const (
 	defaultReaders = 2
 	defaultFanout  = 4
+	// lastResorts is the number of nodes of the own zone, beside its readers,
+	// that a node asks when no reader answers.
+	lastResorts = 4
 )
 
 func (c Config) withDefaults() Config {
@@ -48,13 +51,15 @@
 	Reader bool
 	// Parent is the node to ask first, by the zone's tree; empty for a reader.
 	Parent Source
-	// Sources are the readers to ask, those of the own zone first.
+	// Sources are the nodes to ask in turn: the readers of the own zone, those
+	// of the others, and last some other nodes of the zone. A reader asks only
+	// when the log fails it, and begins with the other zones.
 	Sources []Source
 	// Witnesses are the nodes that may hold what this host served: the other
 	// members of the zone and the readers of the other zones.
 	Witnesses []Source
 	// WriterRank is the node's place among those that write snapshots, over
-	// all zones; the first is 0.
+	// all zones; the first is 1, and 0 says that it is not known yet.
 	WriterRank int
 }
 
@@ -102,7 +107,13 @@
 		role.Parent = Source{Host: parent.Host, Address: parent.PeerAddress}
 	}
 	others := readersElsewhere(self, byZone, c)
-	role.Sources = toSources(self, rotated(self, head(zone, c.Readers)), others)
+	own := rotated(self, head(zone, c.Readers))
+	rest := rotated(self, zone[len(own):])
+	if role.Reader {
+		role.Sources = toSources(self, others, own, head(rest, lastResorts))
+	} else {
+		role.Sources = toSources(self, own, others, head(rest, lastResorts))
+	}
 	role.Witnesses = toSources(self, zone, others)
 	return role
 }
@@ -122,13 +133,13 @@
 	return slices.IndexFunc(ranked, func(m mesh.Member) bool { return m.Host == host })
 }
 
-// writerRank is the place of self among all members.
+// writerRank is the place of self among all members, from 1.
 func writerRank(self mesh.Member, byZone map[mesh.Zone][]mesh.Member) int {
 	var all []mesh.Member
 	for _, members := range byZone {
 		all = append(all, members...)
 	}
-	return placeOf(self.Host, Rank("snapshot writers", all))
+	return placeOf(self.Host, Rank("snapshot writers", all)) + 1
 }
 
 // readersElsewhere returns the readers of the other zones, those of the own
