--- a/front/operator/status.go
+++ b/front/operator/status.go
@@ -5,6 +5,7 @@
 
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/decide/change"
+	"github.com/marigoldshelf/marigoldshelf/decide/choose"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/metrics"
 	"github.com/marigoldshelf/marigoldshelf/platform"
@@ -67,10 +68,10 @@
 			answer.Members = append(answer.Members, m)
 			return true
 		})
-		t.Loads.Each(tx, func(id mesh.HostID, l mesh.Load) bool {
-			answer.Loads[id] = l
+		t.Reports.Each(tx, func(id mesh.HostID, r choose.Report) bool {
+			answer.Loads[id] = r.Load
 			return true
 		})
 		answer.Draining = t.Drain.Get(tx).Draining
-	}, t.Members.Read(), t.Loads.Read(), t.Drain.Read())
+	}, t.Members.Read(), t.Reports.Read(), t.Drain.Read())
 }
