--- a/decide/drain/drain.go
+++ b/decide/drain/drain.go
@@ -1,9 +1,20 @@
-// Package drain holds the state of a planned stop of a backend server.
+// Package drain holds the state of a planned stop: of a backend server, which
+// takes no new work, and of its node, which ends once nothing is under way.
 package drain
 
 import "time"
 
-// State says whether the backend server is leaving.
+const (
+	// Grace is how long a stopping node goes on refusing truthfully, so that
+	// every other one learns that it leaves.
+	Grace = 2 * time.Second
+	// tellInterval is how often a stopping node says what it waits for.
+	tellInterval = 5 * time.Second
+	// lookInterval is how often it looks whether something is under way.
+	lookInterval = 100 * time.Millisecond
+)
+
+// State says whether the backend server is leaving. It is a value.
 type State struct {
 	// Draining is true once it takes no new work.
 	Draining bool
@@ -11,4 +22,50 @@
 	Stopping bool
 	// Since is when the drain began.
 	Since time.Time
+	// Overdue is true once a stop has lasted longer than its limit. It goes on
+	// waiting: nothing is cut.
+	Overdue bool
+	// Told is when it was last said what the stop waits for.
+	Told time.Time
+	// Done is true once a stopping node may end.
+	Done bool
+}
+
+// Stop returns the state of a node that was asked to end.
+func (s State) Stop(now time.Time) State {
+	if s.Stopping {
+		return s
+	}
+	return State{Draining: true, Stopping: true, Since: now}
+}
+
+// Underway counts what a stop waits for.
+type Underway struct {
+	// Calls is the number of callers' requests at the node.
+	Calls int
+	// Admitted is the number of requests at the own backend server.
+	Admitted int
+}
+
+// Advance returns the state now, and when to look again; zero for only when
+// something changes.
+func (s State) Advance(now time.Time, u Underway, limit time.Duration) (State, time.Duration) {
+	if !s.Stopping || s.Done {
+		return s, 0
+	}
+	waited := now.Sub(s.Since)
+	if now.Sub(s.Told) >= tellInterval {
+		s.Told = now
+	}
+	if waited < Grace {
+		return s, min(Grace-waited, lookInterval)
+	}
+	if u == (Underway{}) {
+		s.Done = true
+		return s, 0
+	}
+	if !s.Overdue && waited >= limit {
+		s.Overdue, s.Told = true, now
+	}
+	return s, lookInterval
 }
--- a/front/operator/read.go
+++ b/front/operator/read.go
@@ -183,7 +183,8 @@
 func (a *API) setDrain(wanted bool) (changed bool) {
 	t := a.Tables
 	t.Board.Do(func(tx *blackboard.Tx) {
-		if t.Drain.Get(tx).Draining == wanted {
+		present := t.Drain.Get(tx)
+		if present.Draining == wanted || present.Stopping {
 			return
 		}
 		changed = true
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/clock"
 	"github.com/marigoldshelf/marigoldshelf/controller"
+	"github.com/marigoldshelf/marigoldshelf/decide/drain"
 	"github.com/marigoldshelf/marigoldshelf/front/operator"
 	"github.com/marigoldshelf/marigoldshelf/logs"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
@@ -26,8 +27,8 @@
 	"github.com/marigoldshelf/marigoldshelf/tables"
 )
 
-// stopTimeout bounds how long a stopping node waits for what is under way.
-const stopTimeout = 30 * time.Second
+// closeTimeout bounds the closing of connections once nothing is under way.
+const closeTimeout = 30 * time.Second
 
 // Options is what a node needs beside its settings.
 type Options struct {
@@ -167,10 +168,24 @@
 	}
 	<-ctx.Done()
 	defer n.closeIdle()
+	if err := n.drain(work); err != nil {
+		return err
+	}
 	n.distribution().Release()
 	return shutdown(servers)
 }
 
+// drain lets the node take no new work for its backend server, and returns
+// when nothing is under way. Until then its controllers run and every listener
+// answers: peers are refused truthfully, callers are served by other nodes.
+func (n *Node) drain(ctx context.Context) error {
+	t := n.tables
+	now := n.options.Clock.Now()
+	t.Board.Do(func(tx *blackboard.Tx) { t.Drain.Set(tx, t.Drain.Get(tx).Stop(now)) }, t.Drain.Write())
+	_, err := t.Drain.Await(ctx, func(s drain.State) bool { return s.Done })
+	return eris.Wrap(err, "stop")
+}
+
 func (n *Node) closeIdle() {
 	for _, t := range n.transports {
 		t.CloseIdleConnections()
@@ -214,7 +229,7 @@
 }
 
 func shutdown(servers []server) error {
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	for _, s := range servers {
 		if err := s.http.Shutdown(ctx); err != nil {
--- a/node/traffic.go
+++ b/node/traffic.go
@@ -6,6 +6,7 @@
 
 	"github.com/marigoldshelf/marigoldshelf/controllers/admission"
 	"github.com/marigoldshelf/marigoldshelf/controllers/calls"
+	"github.com/marigoldshelf/marigoldshelf/controllers/stop"
 	"github.com/marigoldshelf/marigoldshelf/decide/admit"
 	"github.com/marigoldshelf/marigoldshelf/encoding/hop"
 	"github.com/marigoldshelf/marigoldshelf/front/caller"
@@ -27,6 +28,7 @@
 	backend := n.options.Settings.Backend
 	admission.Start(t, n.options.Clock.Now(), admit.Limits{Slots: backend.Slots, Queue: *backend.Queue})
 	admission.Register(n.pool, t)
+	stop.Register(n.pool, t, n.options.Settings.Traffic.StopLimit())
 	calls.Register(n.pool, t, calls.Config{
 		Zone:   n.self.Zone,
 		Region: n.self.Region,
