--- a/controllers/membership/gossip.go
+++ b/controllers/membership/gossip.go
@@ -78,12 +78,10 @@
 }
 
 func (f fleet) sendNews(tx *blackboard.Tx, id mesh.HostID, records []membership.Record, reaches []membership.Reach) {
-	if len(records) == 0 {
+	if len(reaches) > 0 {
 		f.sendTo(tx, id, membership.Message{Kind: membership.Gossip, Reaches: reaches})
-		return
 	}
 	for _, chunk := range membership.Chunks(records) {
-		f.sendTo(tx, id, membership.Message{Kind: membership.Gossip, News: chunk, Reaches: reaches})
-		reaches = nil
+		f.sendTo(tx, id, membership.Message{Kind: membership.Gossip, News: chunk})
 	}
 }
--- a/controllers/membership/sync.go
+++ b/controllers/membership/sync.go
@@ -18,8 +18,9 @@
 	// any zone, the gone and the unreachable included: so parts that lost each
 	// other find each other again.
 	strangerShare = 4
-	// maxDigests bounds the digests of one message.
-	maxDigests = 32
+	// maxDigests bounds the digests of one message; of more zones a part is
+	// drawn each time.
+	maxDigests = 16
 )
 
 // registerSync adds the controller that compares the whole table with a peer,
@@ -93,8 +94,12 @@
 	var digests []membership.Digest
 	f.Zones.Each(tx, func(name mesh.Zone, zone membership.Zone) bool {
 		digests = append(digests, membership.Digest{Zone: name, Sum: zone.Digest})
-		return len(digests) < maxDigests
+		return true
 	})
+	if len(digests) > maxDigests {
+		f.Random.Shuffle(len(digests), func(i, j int) { digests[i], digests[j] = digests[j], digests[i] })
+		digests = digests[:maxDigests]
+	}
 	return digests
 }
 
--- a/decide/membership/message.go
+++ b/decide/membership/message.go
@@ -66,7 +66,7 @@
 // MaxNewsSize is the room for news in one message, in bytes by Record.Size. A
 // datagram stays under MaxDatagram with it.
 const (
-	MaxNewsSize = 1150
+	MaxNewsSize = 1050
 	// MaxDatagram is the largest datagram, in bytes: it fits into one packet of
 	// an Ethernet or a tunnel over one.
 	MaxDatagram = 1400
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -20,7 +20,8 @@
 
 // Settings is the whole file.
 type Settings struct {
-	// Host is the node's name in the asset register. Required.
+	// Host is the node's name in the asset register, at most 64 bytes, as are
+	// the names of zone, region and service. Required.
 	Host mesh.HostID `json:"host"`
 	// Zone is the node's availability zone. Required.
 	Zone mesh.Zone `json:"zone"`
@@ -120,11 +121,13 @@
 	defaultIOWorkers   = 16
 	defaultConnections = 130
 	minTokenLength     = 16
-	maxSeeds           = 64
-	maxWorkers         = 256
-	minIOWorkers       = 8
-	maxSlots           = 4096
-	maxCount           = 65535
+	// maxNameLength keeps the news of a member within a datagram.
+	maxNameLength = 64
+	maxSeeds      = 64
+	maxWorkers    = 256
+	minIOWorkers  = 8
+	maxSlots      = 4096
+	maxCount      = 65535
 )
 
 // Load reads and checks a file.
@@ -175,6 +178,10 @@
 	var c checker
 	c.text("host", string(s.Host))
 	c.text("zone", string(s.Zone))
+	c.short("host", string(s.Host))
+	c.short("zone", string(s.Zone))
+	c.short("region", string(s.Region))
+	c.short("backend.service", string(s.Backend.Service))
 	c.address("listen.callers", s.Listen.Callers)
 	c.address("listen.peers", s.Listen.Peers)
 	c.address("listen.operators", s.Listen.Operators)
@@ -207,6 +214,12 @@
 	}
 }
 
+func (c *checker) short(key, value string) {
+	if len(value) > maxNameLength {
+		c.add(key, "must have at most "+strconv.Itoa(maxNameLength)+" bytes")
+	}
+}
+
 func (c *checker) address(key, value string) {
 	if _, err := netip.ParseAddrPort(value); err != nil {
 		c.add(key, "must be IP:port")
