--- a/controllers/membership/network_test.go
+++ b/controllers/membership/network_test.go
@@ -68,6 +68,8 @@
 	asked   time.Time // when the platform got the read that waits
 	asking  bool      // the platform has something to answer
 	sending bool      // the outbox holds something
+	// afterStep, if there is one, is called when the node was stepped.
+	afterStep func()
 }
 
 func newNetwork(t testing.TB, seed uint64, options ...blackboard.Option) *network {
@@ -145,6 +147,9 @@
 		if h.sending {
 			n.collect(h)
 		}
+		if h.afterStep != nil {
+			h.afterStep()
+		}
 	}
 }
 
