--- a/test/process/fleet.go
+++ b/test/process/fleet.go
@@ -22,6 +22,7 @@
 const (
 	OperatorToken = "operator-secret-0001"
 	CustomerToken = "customer-secret-0001"
+	peersSecret   = "peers-secret-0001"
 	customer      = mesh.Customer("menders")
 )
 
@@ -63,6 +64,7 @@
 		Host:     host,
 		Zone:     zone,
 		Listen:   settings.Listen{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Operators: "127.0.0.1:0"},
+		Peers:    settings.Peers{Secret: peersSecret},
 		Backend:  settings.Backend{Service: service, Address: backend.Address, Slots: 6},
 		Platform: settings.Platform{URL: "http://" + f.Platform},
 		Logins: []settings.Credential{
--- /dev/null
+++ b/test/process/membership_test.go
@@ -0,0 +1,60 @@
+package process_test
+
+import (
+	"testing"
+
+	"github.com/marigoldshelf/marigoldshelf/front/operator"
+	"github.com/marigoldshelf/marigoldshelf/mesh"
+	"github.com/marigoldshelf/marigoldshelf/test/process"
+)
+
+// member returns what a node says of a host.
+func member(t *testing.T, n *process.Node, host mesh.HostID) (found mesh.Member) {
+	var status operator.Status
+	process.Call(t, n.Operators, process.OperatorToken, "GET", "/v1/status", nil, &status)
+	for _, m := range status.Members {
+		if m.Host == host {
+			found = m
+		}
+	}
+	return found
+}
+
+// TestMembersDieAndReturn kills a node, freezes another past its death and
+// thaws it, and starts the killed one again.
+func TestMembersDieAndReturn(t *testing.T) {
+	fleet := process.NewFleet(t)
+	hosts := []mesh.HostID{"fes-1", "fes-2", "fes-3", "meknes-1", "meknes-2"}
+	for _, host := range hosts {
+		fleet.Add(host, mesh.Zone(host[:len(host)-2]), "desk")
+	}
+	eventually := func(what string, host mesh.HostID, holds func(mesh.Member) bool, among ...mesh.HostID) {
+		t.Helper()
+		for _, observer := range among {
+			process.Eventually(t, string(host)+" is "+what+" at "+string(observer), func() bool {
+				return holds(member(t, fleet.Nodes[observer], host))
+			})
+		}
+	}
+	isAlive := func(m mesh.Member) bool { return m.State == mesh.Alive }
+	isDead := func(m mesh.Member) bool { return m.State == mesh.Dead }
+	for _, host := range hosts {
+		eventually("alive", host, isAlive, hosts...)
+	}
+
+	fleet.Nodes["fes-2"].Process.Kill()
+	eventually("dead", "fes-2", isDead, "fes-1", "fes-3", "meknes-1", "meknes-2")
+
+	frozen := member(t, fleet.Nodes["fes-1"], "fes-3")
+	fleet.Nodes["fes-3"].Process.Freeze()
+	eventually("dead", "fes-3", isDead, "fes-1", "meknes-1", "meknes-2")
+	fleet.Nodes["fes-3"].Process.Thaw()
+	eventually("back under a higher incarnation of the same life", "fes-3", func(m mesh.Member) bool {
+		return m.State == mesh.Alive && m.Life == frozen.Life && m.Incarnation > frozen.Incarnation
+	}, "fes-1", "fes-3", "meknes-1", "meknes-2")
+
+	fleet.Restart("fes-2")
+	for _, host := range hosts {
+		eventually("alive", host, isAlive, hosts...)
+	}
+}
