A node that hears nobody suspects nobody

Cut off from all, a node suspected its whole zone and spread that on its return: 5 members contradicted it in a zone of 6 (new test). It now suspects only while a peer confirms it, holds its zone unreachable meanwhile, and probes a member drawn at random when its successor does not answer, so that a dead successor does not leave it unconfirmed.

--- a/controllers/membership/faults_test.go
+++ b/controllers/membership/faults_test.go
@@ -239,3 +239,22 @@
 	}
 	must.Eq(t, 0, n.count(controllers.EventZoneUnreachable))
 }
+
+// A node whose own network fails knows nothing of the others: it declares none
+// of them dead, and there is nothing to contradict when it is back.
+func TestNodeThatHearsNobodyDeclaresNobodyDead(t *testing.T) {
+	n := threeZones(t, 15)
+	alone := n.nodes[3]
+	n.cut = func(from, to *host) bool { return from == alone || to == alone }
+	n.until("dead to the others", 6*time.Second, func() bool { return n.everyone(alone.self.Host, mesh.Dead) })
+	n.run(30 * time.Second)
+	must.Eq(t, 0, alone.events[controllers.EventDeclaredGone])
+	must.False(t, alone.tables.Self.Load().Confirmed(n.clock.Now()))
+	for _, h := range n.nodes {
+		must.NotEq(t, mesh.Dead, alone.state(h.self.Host).State)
+	}
+	n.cut = func(_, _ *host) bool { return false }
+	n.until("all know all", 40*time.Second, n.whole)
+	// It may have suspected a few before it knew that it was cut off.
+	must.LessEq(t, 3, n.count(controllers.EventContradicted)-alone.events[controllers.EventContradicted])
+}
--- a/controllers/membership/peers.go
+++ b/controllers/membership/peers.go
@@ -109,15 +109,10 @@
 	f.Zones.Put(tx, old.Member.Zone, zone)
 }
 
-// project writes the row of Members if it changed. In the own zone only the
-// suspected become unreachable: that is a node that hears nobody at all.
+// project writes the row of Members if it changed.
 func (f fleet) project(tx *blackboard.Tx, p membership.Peer, zone membership.Zone) {
 	member := p.Member
-	unreachable := zone.Reach.Unreachable
-	if member.Zone == f.Config.Self.Zone {
-		unreachable = unreachable && p.Phase == membership.Suspected
-	}
-	member.State = p.State(unreachable)
+	member.State = p.State(zone.Reach.Unreachable && member.Host != f.Config.Self.Host)
 	if old, found := f.Members.Get(tx, member.Host); !found || old != member {
 		f.Members.Put(tx, member.Host, member)
 	}
--- a/controllers/membership/probe.go
+++ b/controllers/membership/probe.go
@@ -101,7 +101,9 @@
 	successor, found := membership.Successor(ring, f.Config.Self.Host, f.up(tx))
 	var drawn mesh.HostID
 	also := false
-	if prober.Ticks%randomProbeEvery == 0 || !found {
+	// A node whose successor is dead still has to hear from somebody.
+	isLapsing := !f.Tables.Self.Get(tx).Confirmed(now.Add(f.Times.Period / 2))
+	if prober.Ticks%randomProbeEvery == 0 || !found || isLapsing {
 		prober, drawn, also = prober.Draw(ring, f.present(tx), f.Random)
 	}
 	f.Prober.Set(tx, prober)
@@ -161,13 +163,16 @@
 }
 
 // suspect spreads that a member did not answer, unless it has said something
-// newer meanwhile.
+// newer meanwhile, or this node does not hear from anybody itself.
 func (f fleet) suspect(tx *blackboard.Tx, now time.Time, probe membership.Probe) {
 	f.Prober.Set(tx, f.Prober.Get(tx).Failed(probe))
 	peer, known := f.Peers.Get(tx, probe.Target)
 	if !known || peer.Phase == membership.Gone || peer.Member.Incarnation != probe.Incarnation {
 		return
 	}
+	if !f.Tables.Self.Get(tx).Confirmed(now) {
+		return
+	}
 	f.Count(EventSuspected)
 	f.learn(tx, now, membership.Record{
 		Member: peer.Member, Phase: membership.Suspected, By: f.Config.Self.Host,
