--- a/node/node.go
+++ b/node/node.go
@@ -57,6 +57,7 @@
 	pool      *controller.Pool
 	ioPool    *controller.Pool
 	keyPool   *controller.Pool
+	sendPool  *controller.Pool
 	self      mesh.Member
 	listeners listeners
 	// transports are those whose idle connections end with the node.
@@ -80,6 +81,8 @@
 		pool:    controller.New(o.Clock, o.Settings.Workers),
 		ioPool:  controller.New(o.Clock, o.Settings.IOWorkers),
 		keyPool: controller.New(o.Clock, keyWorkers),
+
+		sendPool: controller.New(o.Clock, sendWorkers),
 	}
 	if err := n.listen(); err != nil {
 		return nil, err
@@ -158,6 +161,7 @@
 	group.Go(func() { n.ioPool.Run(work) })
 	group.Go(func() { n.receiveProbes(work, front) })
 	group.Go(func() { n.keyPool.Run(work) })
+	group.Go(func() { n.sendPool.Run(work) })
 	for _, s := range servers {
 		group.Go(func() { s.run() })
 	}
