--- a/decide/membership/prober_test.go
+++ b/decide/membership/prober_test.go
@@ -55,9 +55,9 @@
 	at := func(i mesh.Incarnation, phase membership.Phase) membership.Record {
 		return membership.Record{Member: mesh.Member{Host: "a", Incarnation: i, State: mesh.Alive}, Phase: phase, By: "b"}
 	}
-	peer, isNew := membership.Merge(membership.Peer{}, false, at(5, membership.Gone), start)
-	must.False(t, isNew, must.Sprint("the death of a stranger"))
-	peer, isNew = membership.Merge(membership.Peer{}, false, at(5, membership.Up), start)
+	_, isKept := membership.Merge(membership.Peer{}, false, at(5, membership.Gone), start)
+	must.False(t, isKept, must.Sprint("the death of a stranger"))
+	peer, isNew := membership.Merge(membership.Peer{}, false, at(5, membership.Up), start)
 	must.True(t, isNew)
 	peer, _ = membership.Merge(peer, true, at(5, membership.Gone), start)
 	for _, stale := range []membership.Record{at(5, membership.Up), at(5, membership.Suspected), at(4, membership.Up)} {
