--- a/settings/settings.go
+++ b/settings/settings.go
@@ -21,7 +21,8 @@
 
 // Settings is the whole file.
 type Settings struct {
-	// Host is the node's name in the asset register. Required.
+	// Host is the node's name in the asset register, at most 64 bytes, as are
+	// the names of zone, region and service. Required.
 	Host mesh.HostID `json:"host"`
 	// Zone is the node's availability zone. Required.
 	Zone mesh.Zone `json:"zone"`
@@ -152,11 +153,13 @@
 	minStopLimit       = 1_000
 	maxStopLimit       = 86_400_000
 	minTokenLength     = 16
-	maxSeeds           = 64
-	maxWorkers         = 256
-	minIOWorkers       = 8
-	maxSlots           = 4096
-	maxCount           = 65535
+	// maxNameLength keeps the news of a member within a datagram.
+	maxNameLength = 64
+	maxSeeds      = 64
+	maxWorkers    = 256
+	minIOWorkers  = 8
+	maxSlots      = 4096
+	maxCount      = 65535
 )
 
 // Load reads and checks a file.
@@ -213,6 +216,10 @@
 	var c checker
 	c.text("host", string(s.Host))
 	c.text("zone", string(s.Zone))
+	c.short("host", string(s.Host))
+	c.short("zone", string(s.Zone))
+	c.short("region", string(s.Region))
+	c.short("backend.service", string(s.Backend.Service))
 	c.address("listen.callers", s.Listen.Callers)
 	c.address("listen.peers", s.Listen.Peers)
 	c.address("listen.operators", s.Listen.Operators)
@@ -247,6 +254,12 @@
 	}
 }
 
+func (c *checker) short(key, value string) {
+	if len(value) > maxNameLength {
+		c.add(key, "must have at most "+strconv.Itoa(maxNameLength)+" bytes")
+	}
+}
+
 func (c *checker) address(key, value string) {
 	if _, err := netip.ParseAddrPort(value); err != nil {
 		c.add(key, "must be IP:port")
