--- /dev/null
+++ b/test/bubble/keys_test.go
@@ -0,0 +1,115 @@
+package bubble_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/marigoldshelf/marigoldshelf/mesh"
+	"github.com/marigoldshelf/marigoldshelf/test/bubble"
+	"github.com/marigoldshelf/marigoldshelf/verdict"
+)
+
+// repeated sends one booking under one key into several nodes at once, and
+// again after pauses, and returns what came of each.
+func repeated(f *bubble.Fleet, number int, at ...mesh.HostID) []bubble.Answer {
+	run := fmt.Sprintf("keyed-%d", number)
+	request := bubble.Request{
+		Method: http.MethodPost, HostName: "desk.example", Path: "/booking/" + run, Run: run, Key: run, Body: "cup " + run,
+	}
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	var answers []bubble.Answer
+	for _, id := range at {
+		group.Go(func() {
+			for range 3 {
+				a := f.Call(id, request)
+				mu.Lock()
+				answers = append(answers, a)
+				mu.Unlock()
+				time.Sleep(2 * time.Second)
+			}
+		})
+	}
+	group.Wait()
+	return answers
+}
+
+// checkKeyed checks what must hold for the answers to one key.
+func checkKeyed(t *testing.T, f *bubble.Fleet, number int, answers []bubble.Answer) (answered bool) {
+	t.Helper()
+	run := fmt.Sprintf("keyed-%d", number)
+	runs := f.Runs(run)
+	must.LessEq(t, 1, runs, must.Sprintf("%s ran %d times", run, runs))
+	for _, a := range answers {
+		if a.Err == nil && a.Status == http.StatusOK {
+			must.Eq(t, "cup "+run, a.Body)
+			must.Eq(t, 1, runs)
+			answered = true
+		}
+	}
+	return answered
+}
+
+func TestKeyRepeatedInTwoZonesWhileHostsDieRunsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _ := started(t)
+		defer f.Close()
+		time.Sleep(30 * time.Second) // the homes of keys are agreed on
+		var group sync.WaitGroup
+		results := make([][]bubble.Answer, 40)
+		for i := range results {
+			group.Go(func() {
+				time.Sleep(time.Duration(i) * 500 * time.Millisecond)
+				results[i] = repeated(f, i, "fes-1", "meknes-1")
+			})
+		}
+		time.Sleep(5 * time.Second)
+		f.Kill("fes-2")
+		time.Sleep(5 * time.Second)
+		f.Start("fes-2")
+		f.CutZones("meknes")
+		time.Sleep(5 * time.Second)
+		f.CutZones()
+		f.Kill("meknes-2")
+		group.Wait()
+		answered := 0
+		reasons := make(map[string]int)
+		for i, answers := range results {
+			if checkKeyed(t, f, i, answers) {
+				answered++
+			}
+			for _, a := range answers {
+				reasons[a.Verdict+" "+a.Reason]++
+			}
+		}
+		must.Positive(t, answered)
+		t.Logf("%d of %d keys answered; %v", answered, len(results), reasons)
+	})
+}
+
+func TestKeyKnownBeforeItsRunSurvivesOneDeath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _ := started(t)
+		defer f.Close()
+		time.Sleep(30 * time.Second)
+		const keys = 20
+		for i := range keys {
+			must.True(t, checkKeyed(t, f, i, repeated(f, i, "fes-1")))
+		}
+		f.Kill("meknes-2")
+		time.Sleep(30 * time.Second)
+		for i := range keys {
+			answers := repeated(f, i, "meknes-1")
+			last := answers[len(answers)-1]
+			must.Eq(t, http.StatusOK, last.Status, must.Sprintf("key %d: %+v", i, last))
+			must.Eq(t, verdict.Ran.String(), last.Verdict)
+			checkKeyed(t, f, i, answers)
+		}
+	})
+}
