--- a/decide/change/fold.go
+++ b/decide/change/fold.go
@@ -11,7 +11,7 @@
 )
 
 func (f *Fold) fold(offset uint64, r Record) refusal {
-	if fault := r.malformed(); fault != "" {
+	if fault := r.Malformation(); fault != "" {
 		return refuse(Malformed, fault)
 	}
 	if r.Kind == Propose {
--- a/decide/change/oracle_test.go
+++ b/decide/change/oracle_test.go
@@ -209,3 +209,17 @@
 	}
 	return s
 }
+
+// BenchmarkPropose folds a proposal of one host into a configuration of 930.
+func BenchmarkPropose(b *testing.B) {
+	services := []mesh.Service{{Name: "desk", Customer: "menders"}}
+	e := mesh.Edits{PutServices: services}
+	for i := range 930 {
+		e.PutHosts = append(e.PutHosts, host(mesh.HostID(fmt.Sprintf("h%d", i)), "desk"))
+	}
+	s := change.State{Config: mesh.Config{}.Apply(e)}
+	r := change.Record{ID: "p", Kind: change.Propose, Proposal: "p", By: operator, Edits: &mesh.Edits{DeleteHosts: []mesh.HostID{"h7"}}}
+	for b.Loop() {
+		s.Apply(1, r)
+	}
+}
--- a/decide/change/record.go
+++ b/decide/change/record.go
@@ -77,8 +77,8 @@
 	return id != "" && len(id) <= maxIDBytes && route.PlainName(id)
 }
 
-// malformed returns what is wrong with the form of a record, or "".
-func (r Record) malformed() string {
+// Malformation returns what is wrong with the form of a record, or "".
+func (r Record) Malformation() string {
 	switch {
 	case !ValidID(r.ID) || !ValidID(r.Proposal):
 		return "an ID must be 1 to 64 letters, digits, dots, hyphens or underscores"
--- a/decide/change/state.go
+++ b/decide/change/state.go
@@ -96,7 +96,7 @@
 	f.own()
 	f.advance(offset)
 	if !ValidID(r.ID) {
-		return refuse(Malformed, r.malformed()).outcome(f.s.Version)
+		return refuse(Malformed, r.Malformation()).outcome(f.s.Version)
 	}
 	if earlier, found := f.s.Recall(r.ID); found {
 		return earlier.OutcomeFor(r, f.s.Version)
--- a/encoding/record/record_test.go
+++ b/encoding/record/record_test.go
@@ -1,6 +1,7 @@
 package record_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -53,3 +54,26 @@
 		must.Eq(t, state, same)
 	})
 }
+
+// A register of the largest fleet foreseen, proposed at once, fits into a
+// record and into the state's bounds.
+func TestRegisterOfFullSizeFits(t *testing.T) {
+	const hosts, services = 930, 97
+	var e mesh.Edits
+	for i := range services {
+		name := mesh.ServiceName(fmt.Sprintf("service-%02d.example", i))
+		e.PutServices = append(e.PutServices, mesh.Service{Name: name, Customer: "atlas-cup-menders-association"})
+		e.PutRules = append(e.PutRules, mesh.Rule{ID: fmt.Sprintf("rule-%d", i), HostName: string(name), PathPrefix: "/",
+			Service: name, Class: mesh.Lookup, DeadlineMillis: 2000, Retries: 2, Hedge: true})
+	}
+	for i := range hosts {
+		e.PutHosts = append(e.PutHosts, mesh.Host{ID: mesh.HostID(fmt.Sprintf("host-%04d.zone.example", i)),
+			Zone: "availability-zone-07", Service: e.PutServices[i%services].Name})
+	}
+	r := change.Record{ID: "all", Kind: change.Propose, Proposal: "all", By: change.Principal{Name: "nadia", Role: change.Operator}, Edits: &e}
+	data, err := record.EncodeChange(r)
+	must.NoError(t, err)
+	_, outcome := change.State{}.Apply(1, r)
+	must.True(t, outcome.Accepted)
+	t.Logf("%d bytes for %d hosts, %d services and %d rules", len(data), hosts, services, services)
+}
--- a/front/operator/submit.go
+++ b/front/operator/submit.go
@@ -92,11 +92,11 @@
 	if r.Kind == change.Propose {
 		r.Proposal = r.ID
 	}
-	if !change.ValidID(r.ID) || !change.ValidID(r.Proposal) {
-		a.fail(ctx, BadRequest, "an ID must be 1 to 64 letters, digits, dots, hyphens or underscores")
+	if !a.allowed(ctx, r.Kind) {
 		return
 	}
-	if !a.allowed(ctx, r.Kind) {
+	if fault := r.Malformation(); fault != "" {
+		a.fail(ctx, BadRequest, fault)
 		return
 	}
 	if _, err := record.EncodeChange(r); err != nil {
--- /dev/null
+++ b/settings/credentials_test.go
@@ -0,0 +1,44 @@
+package settings_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/marigoldshelf/marigoldshelf/settings"
+)
+
+func example(t testing.TB) string {
+	data, err := os.ReadFile("../examples/node.json")
+	must.NoError(t, err)
+	return string(data)
+}
+
+func TestLoginsThatCannotBeToldApartAreFaults(t *testing.T) {
+	text := strings.NewReplacer("customer-secret-0001", "operator-secret-0001", `"name": "menders"`, `"name": "nadia"`,
+		`"role": "operator"`, `"role": "operator", "customer": "menders"`).Replace(example(t))
+	_, err := settings.Parse([]byte(text))
+	must.EqError(t, err, "credentials[0].customer: an operator speaks for no customer\n"+
+		"credentials[1].name: is that of credentials[0]\ncredentials[1].token: is that of credentials[0]")
+}
+
+// FuzzParse: whatever comes, the answer is settings, or an error that shows no
+// token.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(example(f)))
+	f.Add([]byte(`{"credentials":[{"token":"a-secret-of-16-ch"},{"token":"a-secret-of-16-ch","role":"customer"}]}`))
+	f.Add([]byte(`{"workers":-1,"listen":{"callers":"x"},"platform":{"url":"::"}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := settings.Parse(data)
+		if err == nil {
+			return
+		}
+		for _, login := range s.Logins {
+			if len(login.Token) >= 16 && !strings.Contains(string(login.Customer)+login.Name, login.Token) {
+				must.StrNotContains(t, err.Error(), login.Token)
+			}
+		}
+	})
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -110,14 +110,18 @@
 	URL string `json:"url"`
 }
 
-// Credential is the login of an operator or a customer.
+// Credential is the login of an operator or a customer. All nodes should have
+// the same ones.
 type Credential struct {
+	// Name is written into the log with each record. Required, and unique.
 	Name string `json:"name"`
 	// Role is "operator" or "customer".
 	Role change.Role `json:"role"`
-	// Customer is the customer that a customer's login speaks for.
+	// Customer is the customer that a customer's login speaks for; required
+	// there, and not allowed for an operator.
 	Customer mesh.Customer `json:"customer"`
-	// Token is the secret, at least 16 characters. It is never logged.
+	// Token is the secret, at least 16 characters, and unique. It is never
+	// logged.
 	Token string `json:"token"`
 }
 
@@ -229,6 +233,7 @@
 	for i, login := range s.Logins {
 		c.credential("credentials["+strconv.Itoa(i)+"]", login)
 	}
+	c.sharedCredentials(s.Logins)
 	c.between("workers", s.Workers, 1, maxWorkers)
 	c.between("io_workers", s.IOWorkers, minIOWorkers, maxWorkers)
 	return c.faults
@@ -282,6 +287,9 @@
 	c.text(key+".name", login.Name)
 	switch login.Role {
 	case change.Operator:
+		if login.Customer != "" {
+			c.add(key+".customer", "an operator speaks for no customer")
+		}
 	case change.CustomerRole:
 		c.text(key+".customer", string(login.Customer))
 	default:
@@ -291,3 +299,19 @@
 		c.add(key+".token", "must have at least "+strconv.Itoa(minTokenLength)+" characters")
 	}
 }
+
+// sharedCredentials finds logins that cannot be told apart. No fault shows a
+// token.
+func (c *checker) sharedCredentials(logins []Credential) {
+	for i, login := range logins {
+		for j, earlier := range logins[:i] {
+			key := "credentials[" + strconv.Itoa(i) + "]"
+			if login.Name == earlier.Name {
+				c.add(key+".name", "is that of credentials["+strconv.Itoa(j)+"]")
+			}
+			if login.Token == earlier.Token {
+				c.add(key+".token", "is that of credentials["+strconv.Itoa(j)+"]")
+			}
+		}
+	}
+}
