Probes compare tables, and old news of the gone is corrected

Gossip misses a node now and then: of 8 deaths in 300 nodes one was known everywhere only after 10.1 s, and a page of members does not name the gone. A probe now carries the digest of the whole table; a fellow that holds another compares zone by zone, and whoever sends old news of a member that is gone is told. The new test: not within 3 s before, 0.16 s now.

It is 1.5 s again.

--- a/controllers/membership/faults_test.go
+++ b/controllers/membership/faults_test.go
@@ -258,3 +258,21 @@
 	// It may have suspected a few before it knew that it was cut off.
 	must.LessEq(t, 3, n.count(controllers.EventContradicted)-alone.events[controllers.EventContradicted])
 }
+
+// Gossip is random: now and then it misses a node. The next probe brings the
+// difference to light.
+func TestNodeThatGossipMissedCatchesUp(t *testing.T) {
+	n := threeZones(t, 16)
+	missed, dead := n.nodes[14], n.nodes[3]
+	n.drop = func(to *host, m membership.Message) bool { return to == missed && m.Kind == membership.Gossip }
+	dead.down = true
+	n.until("dead to the rest", 5*time.Second, func() bool {
+		return n.nodes[13].state(dead.self.Host).State == mesh.Dead
+	})
+	n.run(time.Second) // the rounds of gossip are over
+	n.drop = func(*host, membership.Message) bool { return false }
+	took := n.until("dead to the one that was missed", 3*time.Second, func() bool {
+		return missed.state(dead.self.Host).State == mesh.Dead
+	})
+	t.Logf("caught up %v later", took)
+}
--- a/controllers/membership/network_test.go
+++ b/controllers/membership/network_test.go
@@ -39,6 +39,7 @@
 	flying  []packet
 	loss    float64
 	cut     func(from, to *host) bool
+	drop    func(to *host, m membership.Message) bool
 	records []platform.Record
 	logDown bool
 	appends []time.Time
@@ -76,7 +77,8 @@
 	return &network{
 		t: t, clock: clock.NewVirtual(time.Unix(1_700_000_000, 0)), options: options,
 		random: rand.New(rand.NewPCG(seed, 1)), codec: probe.NewCodec(testSecret),
-		cut: func(_, _ *host) bool { return false },
+		cut:  func(_, _ *host) bool { return false },
+		drop: func(*host, membership.Message) bool { return false },
 	}
 }
 
@@ -193,6 +195,9 @@
 		}
 		message, err := n.codec.Decode(p.data)
 		must.NoError(n.t, err)
+		if n.drop(to, message) {
+			continue
+		}
 		to.bytes += len(p.data)
 		to.inbox++
 		b := to.tables
--- a/controllers/membership/probe.go
+++ b/controllers/membership/probe.go
@@ -126,7 +126,9 @@
 	probe.Incarnation = peer.Member.Incarnation
 	probe.SentAt = now
 	sequence := f.addProbe(tx, probe)
-	f.sendTo(tx, id, f.pingMessage(peer, sequence))
+	ping := f.pingMessage(peer, sequence)
+	ping.Digests = []membership.Digest{f.wholeDigest(tx)}
+	f.sendTo(tx, id, ping)
 }
 
 // addProbe puts a probe under way and returns its number.
--- a/controllers/membership/sync.go
+++ b/controllers/membership/sync.go
@@ -103,6 +103,34 @@
 	return digests
 }
 
+// wholeDigest sums up the whole table; it names no zone.
+func (f fleet) wholeDigest(tx *blackboard.Tx) (whole membership.Digest) {
+	f.Zones.Each(tx, func(_ mesh.Zone, zone membership.Zone) bool {
+		whole.Sum ^= zone.Digest
+		return true
+	})
+	return whole
+}
+
+// resync looks at the digests on a ping. A ping from another zone names the
+// zones to compare. One from a fellow sums up everything: if that differs while
+// there is no news under way here, the tables are compared.
+func (f fleet) resync(tx *blackboard.Tx, now time.Time, e membership.Envelope) {
+	digests := e.Message.Digests
+	if len(digests) != 1 || digests[0].Zone != "" {
+		f.pullDifferent(tx, e)
+		return
+	}
+	prober := f.Prober.Get(tx)
+	isSettled := f.News.Len(tx) == 0 && f.Tables.Self.Get(tx).Complete
+	if digests[0] == f.wholeDigest(tx) || !isSettled || now.Before(prober.ResyncAt) {
+		return
+	}
+	prober.ResyncAt = now.Add(f.Times.Period)
+	f.Prober.Set(tx, prober)
+	f.send(tx, e.Address, membership.Message{Kind: membership.Sync, Digests: f.digests(tx)})
+}
+
 // compare asks the sender for zones that it holds differently, and answers a
 // Sync with the own digests.
 func (f fleet) compare(tx *blackboard.Tx, e membership.Envelope) {
--- a/decide/membership/config.go
+++ b/decide/membership/config.go
@@ -42,7 +42,7 @@
 		Period:         time.Second,
 		AckTimeout:     250 * time.Millisecond,
 		FailTimeout:    750 * time.Millisecond,
-		SuspicionMin:   1250 * time.Millisecond,
+		SuspicionMin:   1500 * time.Millisecond,
 		SuspicionMax:   4 * time.Second,
 		GossipInterval: 100 * time.Millisecond,
 		SyncInterval:   10 * time.Second,
--- a/decide/membership/prober.go
+++ b/decide/membership/prober.go
@@ -45,6 +45,9 @@
 	Round []mesh.HostID
 	// AckedAt is when a probe was last answered.
 	AckedAt time.Time
+	// ResyncAt is the earliest instant to compare tables again because a probe
+	// showed a difference.
+	ResyncAt time.Time
 	// Health is zero when the node itself is well; it grows when answers stay
 	// out, and stretches the node's timeouts, so that a slow node does not
 	// accuse healthy ones.
