Processes prove the restart without the platform and the trimmed log

A host restarted while the platform is down refuses with not-run and floor_unknown until its peers have told it, and then serves the version from before; a node started after the log dropped its first records gets the whole state from its peers. The platform's stand-in can keep a number of records only.

--- a/cmd/platform-standin/main.go
+++ b/cmd/platform-standin/main.go
@@ -20,6 +20,7 @@
 type arguments struct {
 	Listen    string        `default:"127.0.0.1:0" help:"IP:port to listen on."`
 	Retention time.Duration `default:"1h" help:"Age at which records are dropped; 0 keeps all."`
+	Records   int           `default:"0" help:"Records that a stream keeps; 0 keeps all."`
 	Rate      int           `default:"300" help:"Appends a second; 0 is without bound."`
 }
 
@@ -30,7 +31,9 @@
 }
 
 func run(args arguments) error {
-	store := standin.New(clock.System{}, standin.Options{Retention: args.Retention, AppendsPerSecond: args.Rate})
+	store := standin.New(clock.System{}, standin.Options{
+		Retention: args.Retention, Records: args.Records, AppendsPerSecond: args.Rate,
+	})
 	mux := http.NewServeMux()
 	mux.Handle("/", httplog.NewHandler(store))
 	mux.HandleFunc("PUT /faults", func(w http.ResponseWriter, r *http.Request) { setFaults(store, w, r) })
--- a/controllers/calls/calls.go
+++ b/controllers/calls/calls.go
@@ -39,7 +39,7 @@
 func (r reconciler) reconcile(now time.Time, id string) (result controller.Result) {
 	t := r.tables
 	t.Board.Do(func(tx *blackboard.Tx) { result = r.step(tx, now, id) },
-		t.Routes.Read(), t.Endpoints.Read(), t.Reports.Write(), t.InFlight.Write(), t.Services.Write(),
+		t.Routes.Read(), t.Floor.Read(), t.Endpoints.Read(), t.Reports.Write(), t.InFlight.Write(), t.Services.Write(),
 		t.Calls.Write(), t.Hedges.Write())
 	return result
 }
@@ -74,12 +74,13 @@
 	var service call.Service
 	var name mesh.ServiceName
 	world := call.World{
-		Routes:     r.tables.Routes.Get(tx),
-		Zone:       r.config.Zone,
-		Region:     r.config.Region,
-		Random:     r.config.Random,
-		Pick:       choose.Pick,
-		Candidates: func(s mesh.ServiceName) []choose.Candidate { return r.candidates(tx, s) },
+		Routes:       r.tables.Routes.Get(tx),
+		FloorUnknown: !r.tables.Floor.Get(tx).Known,
+		Zone:         r.config.Zone,
+		Region:       r.config.Region,
+		Random:       r.config.Random,
+		Pick:         choose.Pick,
+		Candidates:   func(s mesh.ServiceName) []choose.Candidate { return r.candidates(tx, s) },
 		Service: func(s mesh.ServiceName) *call.Service {
 			if name != s {
 				name = s
--- a/decide/call/call.go
+++ b/decide/call/call.go
@@ -118,6 +118,9 @@
 type World struct {
 	// Routes is the configuration in force; nil for none.
 	Routes *route.Table
+	// FloorUnknown is true while a started node does not know yet which
+	// versions it may serve.
+	FloorUnknown bool
 	// Zone and Region are the node's own.
 	Zone   mesh.Zone
 	Region mesh.Region
@@ -134,7 +137,10 @@
 // version it was routed under until its end.
 func Begin(now time.Time, r Request, w World) Call {
 	c := Call{Request: r}
-	if w.Routes == nil {
+	switch {
+	case w.Routes == nil && w.FloorUnknown:
+		return c.refuse(verdict.NotRun, verdict.FloorUnknown)
+	case w.Routes == nil:
 		return c.refuse(verdict.NotRun, verdict.NoConfiguration)
 	}
 	rule, found := w.Routes.Match(r.HostName, r.Path)
--- a/test/process/fleet.go
+++ b/test/process/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/marigoldshelf/marigoldshelf/decide/change"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/node"
+	"github.com/marigoldshelf/marigoldshelf/platform/standin"
 	"github.com/marigoldshelf/marigoldshelf/settings"
 )
 
@@ -44,12 +45,13 @@
 	file    string
 }
 
-// NewFleet builds the programs and starts the platform's stand-in.
-func NewFleet(t *testing.T) *Fleet {
+// NewFleet builds the programs and starts the platform's stand-in with the
+// arguments given.
+func NewFleet(t *testing.T, platformArgs ...string) *Fleet {
 	f := &Fleet{t: t, Nodes: make(map[mesh.HostID]*Node)}
 	f.programs = Programs(t, "marigoldd", "platform-standin", "backend-standin")
 	var address struct{ Address string }
-	Start(t, &address, filepath.Join(f.programs, "platform-standin"))
+	Start(t, &address, filepath.Join(f.programs, "platform-standin"), platformArgs...)
 	f.Platform = address.Address
 	return f
 }
@@ -87,6 +89,34 @@
 	n.Process = Start(f.t, &n.Addresses, filepath.Join(f.programs, "marigoldd"), n.file)
 }
 
+// Seed gives the node of a host the probe addresses of others to join through
+// at its next start.
+func (f *Fleet) Seed(host mesh.HostID, addresses ...string) {
+	f.t.Helper()
+	n := f.Nodes[host]
+	data, err := os.ReadFile(n.file)
+	must.NoError(f.t, err)
+	var s settings.Settings
+	must.NoError(f.t, json.Unmarshal(data, &s))
+	s.Peers.Seeds = addresses
+	data, err = json.Marshal(s)
+	must.NoError(f.t, err)
+	must.NoError(f.t, os.WriteFile(n.file, data, 0o600))
+}
+
+// SetFaults makes the platform fail in a way from now on.
+func (f *Fleet) SetFaults(faults standin.Faults) {
+	f.t.Helper()
+	data, err := json.Marshal(faults)
+	must.NoError(f.t, err)
+	request, err := http.NewRequest(http.MethodPut, "http://"+f.Platform+"/faults", bytes.NewReader(data))
+	must.NoError(f.t, err)
+	response, err := http.DefaultClient.Do(request)
+	must.NoError(f.t, err)
+	response.Body.Close()
+	must.Eq(f.t, http.StatusNoContent, response.StatusCode)
+}
+
 // Call sends a request of an operator or customer and decodes its answer.
 func Call(t *testing.T, address, token, method, path string, body, answer any) int {
 	t.Helper()
