Failures of a key's holders, one test each

A grant no longer waits for the copy to a new backup to end: it is on both holders all the same, and a backup without the whole state never speaks for the shard. A primary that leaves hands its shard to the backup first.

--- a/decide/idempotency/plan.go
+++ b/decide/idempotency/plan.go
@@ -104,6 +104,11 @@
 // planHeld plans for a shard whose whole state this node has.
 func (v View) planHeld(now time.Time, c Config, s Shard, a Assignment) (Change, bool) {
 	change := Change{Shard: s.Number, Base: a.Link, Primary: s.Self}
+	if s.Role == Primary && s.Synced && v.member(s.Self.Host).State == mesh.Leaving {
+		backup, found := v.pickBackup(s.Number, s.Peer.Host, s.Self)
+		change.Kind, change.Primary, change.Backup = Move, s.Peer, backup
+		return change, found
+	}
 	peerLost := now.Sub(s.HeardAt) > c.FailAfter
 	if peerLost || s.Role == Primary && v.betterBackup(s) {
 		backup, found := v.pickBackup(s.Number, s.Self.Host, s.Peer)
--- a/decide/idempotency/shard.go
+++ b/decide/idempotency/shard.go
@@ -117,7 +117,7 @@
 // was last known to have no later record.
 func (s Shard) mayGrant(now time.Time, c Config, confirmed time.Time) bool {
 	leased := elapsed(confirmed, now) <= c.Lease
-	return s.Role == Primary && s.Complete && s.Synced && leased
+	return s.Role == Primary && s.Complete && leased
 }
 
 // elapsed returns the time from one instant to another, by the host's monotonic
--- a/test/keys/failures_test.go
+++ b/test/keys/failures_test.go
@@ -1,6 +1,7 @@
 package keys_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/decide/idempotency"
+	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/verdict"
 )
 
@@ -87,6 +89,9 @@
 	w.part()
 	w.goWell(3*time.Second, w.idle)
 	must.Eq(t, verdict.KeyUnknown, w.try(t, w.nodes[primary], "k").Refusal.Reason)
+	ran := w.runs[idempotency.NewID("desk.example", "k")][0].at
+	w.goWell(w.config.Window-w.clock.Now().Sub(ran)-2*time.Second, w.idle)
+	must.Eq(t, verdict.KeyUnknown, w.try(t, w.nodes[primary], "k").Refusal.Reason)
 }
 
 // TestPausedPrimary has a primary pause with a grant about to leave. Its
@@ -180,3 +185,129 @@
 	must.Eq(t, before.Primary, row.Assignments[0].Primary)
 	must.Eq(t, 0, w.counts["planned_fresh"])
 }
+
+// TestHalfCopiedBackup has the primary die while it brings its state to a new
+// backup. The new one alone must not speak for the shard.
+func TestHalfCopiedBackup(t *testing.T) {
+	w := ready(t)
+	must.Eq(t, idempotency.Held, w.try(t, w.nodes[0], "k").State)
+	primary := w.holder(idempotency.Primary)
+	w.crash(w.holder(idempotency.Backup))
+	w.blocks = func(m *message) bool { return m.send.Replicate != nil && m.send.Replicate.IsCopy }
+	w.goWell(4*time.Second, w.idle)
+	must.Eq(t, primary, w.holder(idempotency.Primary))
+	w.crash(primary)
+	w.blocks = nil
+	w.goWell(10*time.Second, w.idle)
+	for _, n := range w.nodes {
+		must.Eq(t, verdict.KeyUnknown, w.try(t, n, "k").Refusal.Reason)
+	}
+}
+
+// TestForgottenRecords has a pair that was replaced while it was cut off, and
+// whose replacement it can no longer read.
+func TestForgottenRecords(t *testing.T) {
+	w := newWorld(5, quick(), blackboard.CheckOrder())
+	w.goWell(6*time.Second, w.idle)
+	primary, backup := w.holder(idempotency.Primary), w.holder(idempotency.Backup)
+	asker := 0
+	for asker == primary || asker == backup {
+		asker++
+	}
+	w.part(primary, backup, asker)
+	quarantine := w.config.Window + w.config.Lease + w.config.GrantLife + w.config.Drift
+	w.goWell(quarantine+6*time.Second, w.idle)
+	w.retain(0)
+	must.NotEq(t, primary, w.holder(idempotency.Primary))
+	w.nodes[primary].cut, w.nodes[backup].cut = false, false // still parted from the others
+	w.goWell(2*time.Second, w.idle)
+	must.Eq(t, verdict.KeyHomeUnreached, w.try(t, w.nodes[asker], "k").Refusal.Reason)
+}
+
+// TestLateClaim has a claim arrive after its asker has given up and said so.
+func TestLateClaim(t *testing.T) {
+	w := ready(t)
+	asker := w.nodes[0]
+	attempt := w.claim(asker, "k", "x")
+	w.settle()
+	i := slices.IndexFunc(w.wire, func(m *message) bool { return m.send.Claim != nil })
+	late := w.wire[i]
+	w.lose(i)
+	w.end(asker, attempt, verdict.NotRun)
+	w.goWell(time.Second, w.idle)
+	w.wire = append(w.wire, &message{from: asker, id: late.id, send: late.send})
+	w.goWell(time.Second, w.idle)
+	must.Eq(t, idempotency.Held, w.try(t, w.nodes[1], "k").State)
+}
+
+// TestFullHome has a home that cannot remember another key: a refusal that says
+// that nothing ran, and no key is forgotten early.
+func TestFullHome(t *testing.T) {
+	c := quick()
+	c.MaxKeys = 1
+	w := newWorld(4, c, blackboard.CheckOrder())
+	w.goWell(6*time.Second, w.idle)
+	must.Eq(t, idempotency.Held, w.try(t, w.nodes[0], "k").State)
+	full := w.try(t, w.nodes[0], "other")
+	must.Eq(t, verdict.KeysFull, full.Refusal.Reason)
+	must.Eq(t, verdict.NotRun, full.Refusal.Verdict)
+	must.Eq(t, idempotency.Repeated, w.try(t, w.nodes[1], "k").State)
+	w.goWell(c.Window+3*time.Second, w.idle)
+	must.Eq(t, idempotency.Held, w.try(t, w.nodes[0], "other").State)
+}
+
+// TestQuarantineGoesOn has a shard in quarantine change both holders.
+func TestQuarantineGoesOn(t *testing.T) {
+	w := ready(t)
+	must.Eq(t, idempotency.Held, w.try(t, w.nodes[0], "k").State)
+	backup := w.holder(idempotency.Backup)
+	w.crash(w.holder(idempotency.Primary))
+	w.crash(backup)
+	w.goWell(6*time.Second, w.idle)
+	for range 2 {
+		w.crash(w.holder(idempotency.Primary))
+		w.goWell(4*time.Second, w.idle)
+	}
+	must.Eq(t, 1, w.counts["planned_fresh"])
+	must.Eq(t, verdict.KeyUnknown, w.try(t, w.nodes[0], "k").Refusal.Reason)
+}
+
+// TestCrossedReplication has the news of a release reach the backup after the
+// claim that followed it, and then the primary die.
+func TestCrossedReplication(t *testing.T) {
+	w := ready(t)
+	first := w.claim(w.nodes[0], "k", "x")
+	w.goWell(time.Second, w.idle)
+	var late *message
+	w.blocks = func(m *message) bool {
+		r := m.send.Replicate
+		released := r != nil && len(r.Copies) == 1 && r.Copies[0].Entry.State == idempotency.Released
+		if released && late == nil {
+			late = &message{from: m.from, id: m.id, send: m.send, ignored: true}
+		}
+		return released
+	}
+	w.end(w.nodes[0], first, verdict.NotRun)
+	w.goWell(time.Second, w.idle)
+	must.Eq(t, idempotency.Held, w.try(t, w.nodes[1], "k").State)
+	must.NotNil(t, late)
+	w.blocks = nil
+	w.wire = append(w.wire, late)
+	w.goWell(time.Second, w.idle)
+	w.crash(w.holder(idempotency.Primary))
+	w.goWell(4*time.Second, w.idle)
+	must.Eq(t, idempotency.Repeated, w.try(t, w.nodes[2], "k").State)
+}
+
+// TestLeavingPrimary has a primary hand its shard over before it stops.
+func TestLeavingPrimary(t *testing.T) {
+	w := ready(t)
+	must.Eq(t, idempotency.Held, w.try(t, w.nodes[0], "k").State)
+	primary, backup := w.holder(idempotency.Primary), w.holder(idempotency.Backup)
+	w.nodes[primary].member.State = mesh.Leaving
+	w.goWell(2*time.Second, w.idle)
+	must.Eq(t, backup, w.holder(idempotency.Primary))
+	w.crash(primary)
+	must.Eq(t, idempotency.Repeated, w.try(t, w.nodes[backup], "k").State)
+	must.Eq(t, idempotency.Held, w.try(t, w.nodes[backup], "new").State)
+}
