--- a/settings/settings.go
+++ b/settings/settings.go
@@ -21,7 +21,8 @@
 
 // Settings is the whole file.
 type Settings struct {
-	// Host is the node's name in the asset register. Required.
+	// Host is the node's name in the asset register, at most 64 bytes, as are
+	// the names of zone, region and service. Required.
 	Host mesh.HostID `json:"host"`
 	// Zone is the node's availability zone. Required.
 	Zone mesh.Zone `json:"zone"`
@@ -110,14 +111,18 @@
 	URL string `json:"url"`
 }
 
-// Credential is the login of an operator or a customer.
+// Credential is the login of an operator or a customer. All nodes should have
+// the same ones.
 type Credential struct {
+	// Name is written into the log with each record. Required, and unique.
 	Name string `json:"name"`
 	// Role is "operator" or "customer".
 	Role change.Role `json:"role"`
-	// Customer is the customer that a customer's login speaks for.
+	// Customer is the customer that a customer's login speaks for; required
+	// there, and not allowed for an operator.
 	Customer mesh.Customer `json:"customer"`
-	// Token is the secret, at least 16 characters. It is never logged.
+	// Token is the secret, at least 16 characters, and unique. It is never
+	// logged.
 	Token string `json:"token"`
 }
 
@@ -152,11 +157,13 @@
 	minStopLimit       = 1_000
 	maxStopLimit       = 86_400_000
 	minTokenLength     = 16
-	maxSeeds           = 64
-	maxWorkers         = 256
-	minIOWorkers       = 8
-	maxSlots           = 4096
-	maxCount           = 65535
+	// maxNameLength keeps the news of a member within a datagram.
+	maxNameLength = 64
+	maxSeeds      = 64
+	maxWorkers    = 256
+	minIOWorkers  = 8
+	maxSlots      = 4096
+	maxCount      = 65535
 )
 
 // Load reads and checks a file.
@@ -213,6 +220,10 @@
 	var c checker
 	c.text("host", string(s.Host))
 	c.text("zone", string(s.Zone))
+	c.short("host", string(s.Host))
+	c.short("zone", string(s.Zone))
+	c.short("region", string(s.Region))
+	c.short("backend.service", string(s.Backend.Service))
 	c.address("listen.callers", s.Listen.Callers)
 	c.address("listen.peers", s.Listen.Peers)
 	c.address("listen.operators", s.Listen.Operators)
@@ -229,6 +240,7 @@
 	for i, login := range s.Logins {
 		c.credential("credentials["+strconv.Itoa(i)+"]", login)
 	}
+	c.sharedCredentials(s.Logins)
 	c.between("workers", s.Workers, 1, maxWorkers)
 	c.between("io_workers", s.IOWorkers, minIOWorkers, maxWorkers)
 	return c.faults
@@ -247,6 +259,12 @@
 	}
 }
 
+func (c *checker) short(key, value string) {
+	if len(value) > maxNameLength {
+		c.add(key, "must have at most "+strconv.Itoa(maxNameLength)+" bytes")
+	}
+}
+
 func (c *checker) address(key, value string) {
 	if _, err := netip.ParseAddrPort(value); err != nil {
 		c.add(key, "must be IP:port")
@@ -282,6 +300,9 @@
 	c.text(key+".name", login.Name)
 	switch login.Role {
 	case change.Operator:
+		if login.Customer != "" {
+			c.add(key+".customer", "an operator speaks for no customer")
+		}
 	case change.CustomerRole:
 		c.text(key+".customer", string(login.Customer))
 	default:
@@ -291,3 +312,19 @@
 		c.add(key+".token", "must have at least "+strconv.Itoa(minTokenLength)+" characters")
 	}
 }
+
+// sharedCredentials finds logins that cannot be told apart. No fault shows a
+// token.
+func (c *checker) sharedCredentials(logins []Credential) {
+	for i, login := range logins {
+		for j, earlier := range logins[:i] {
+			key := "credentials[" + strconv.Itoa(i) + "]"
+			if login.Name == earlier.Name {
+				c.add(key+".name", "is that of credentials["+strconv.Itoa(j)+"]")
+			}
+			if login.Token == earlier.Token {
+				c.add(key+".token", "is that of credentials["+strconv.Itoa(j)+"]")
+			}
+		}
+	}
+}
