Deaths meet runs under way in the sessions of faults

A trial that retried every failed request, whatever its verdict, had passed: backend servers answered at once, so no death met a run.

--- a/test/bubble/faults_test.go
+++ b/test/bubble/faults_test.go
@@ -41,6 +41,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		f, version := started(t)
 		defer f.Close()
+		for _, h := range f.Hosts {
+			h.Backend.SetDelay(50 * time.Millisecond) // so that deaths meet runs under way
+		}
 		versions := f.WatchVersions(everyone...)
 		load := f.StartLoad("desk", mesh.Booking, 100*time.Millisecond, everyone...)
 		time.Sleep(time.Second)
--- a/test/bubble/session_test.go
+++ b/test/bubble/session_test.go
@@ -109,6 +109,9 @@
 	f, _ := started(t)
 	defer f.Close()
 	s := &session{Fleet: f, t: t, random: rand.New(rand.NewPCG(seed, 1)), dead: make(map[mesh.HostID]bool)}
+	for _, h := range f.Hosts {
+		h.Backend.SetDelay(50 * time.Millisecond) // so that deaths meet runs under way
+	}
 	versions := f.WatchVersions(everyone...)
 	load := f.StartLoad("desk", mesh.Booking, 200*time.Millisecond, everyone...)
 	for range 30 {
