--- a/decide/change/oracle_test.go
+++ b/decide/change/oracle_test.go
@@ -1,6 +1,7 @@
 package change_test
 
 import (
+	"encoding/json"
 	"flag"
 	"fmt"
 	"testing"
@@ -113,12 +114,13 @@
 	return true
 }
 
-// start is a state with the two services and no host, at offset 3.
+// start is a state with the two services and no host, shortly before the IDs
+// seen change their generation.
 func start(t *testing.T) change.State {
 	l := newLog(t)
 	services := []mesh.Service{{Name: "desk", Customer: "menders"}, {Name: "store", Customer: "stickers"}}
 	l.release("services", mesh.Edits{PutServices: services}, menders, stickers)
-	return l.state
+	return l.state.Skip(change.SeenSpan - 20)
 }
 
 // drawRecord makes a record that is likely to matter, and some that repeat an
@@ -194,7 +196,8 @@
 	})
 }
 
-// inBatches folds records that arrive in batches of any size, which overlap.
+// inBatches folds records that arrive in batches of any size, which overlap. The
+// state is written out and read between some of them, as a snapshot is.
 func inBatches(t *rapid.T, s change.State, records []change.Record) change.State {
 	base := s.Offset
 	for s.Offset < base+uint64(len(records)) {
@@ -206,6 +209,9 @@
 			fold.Apply(base+uint64(i)+1, records[i])
 		}
 		s = fold.State()
+		if rapid.Bool().Draw(t, "snapshot") {
+			s = reread(t, s)
+		}
 	}
 	return s
 }
@@ -223,3 +229,10 @@
 		s.Apply(1, r)
 	}
 }
+
+func reread(t *rapid.T, s change.State) (back change.State) {
+	data, err := json.Marshal(s)
+	must.NoError(t, err)
+	must.NoError(t, json.Unmarshal(data, &back))
+	return back
+}
