--- /dev/null
+++ b/cmd/marigold/screens_test.go
@@ -0,0 +1,105 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/shoenig/test/must"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/marigoldshelf/marigoldshelf/blackboard"
+	"github.com/marigoldshelf/marigoldshelf/clock"
+	"github.com/marigoldshelf/marigoldshelf/decide/change"
+	"github.com/marigoldshelf/marigoldshelf/decide/route"
+	"github.com/marigoldshelf/marigoldshelf/front/operator"
+	"github.com/marigoldshelf/marigoldshelf/mesh"
+	"github.com/marigoldshelf/marigoldshelf/metrics"
+	"github.com/marigoldshelf/marigoldshelf/settings"
+	"github.com/marigoldshelf/marigoldshelf/tables"
+	"github.com/marigoldshelf/marigoldshelf/verdict"
+)
+
+var (
+	nadia = change.Principal{Name: "nadia", Role: change.Operator}
+	samir = change.Principal{Name: "samir", Role: change.CustomerRole, Customer: "menders"}
+)
+
+// told is a log with a release, a vetoed proposal and an open one.
+func told() change.State {
+	rule := mesh.Rule{ID: "all", HostName: "desk.example", PathPrefix: "/", Service: "desk", Class: mesh.Lookup, DeadlineMillis: 2000}
+	book := mesh.Rule{ID: "book", HostName: "desk.example", PathPrefix: "/book", Service: "store", Class: mesh.Booking, DeadlineMillis: 5000}
+	first := &mesh.Edits{
+		PutServices: []mesh.Service{{Name: "desk", Customer: "menders"}, {Name: "store", Customer: "menders"}},
+		PutHosts:    []mesh.Host{{ID: "fes-1", Zone: "fes", Service: "desk"}, {ID: "fes-2", Zone: "fes", Service: "store"}},
+		PutRules:    []mesh.Rule{rule},
+	}
+	second := &mesh.Edits{PutHosts: []mesh.Host{{ID: "fes-1", Zone: "fes", Service: "desk"}, {ID: "fes-3", Zone: "fes", Service: "desk"}}}
+	third := &mesh.Edits{PutServices: []mesh.Service{{Name: "store", Customer: "stickers"}}, PutRules: []mesh.Rule{book},
+		PutHosts: []mesh.Host{{ID: "fes-3", Zone: "fes", Service: "desk"}}}
+	answer := func(kind change.Kind, by change.Principal, p string, base mesh.Version, e *mesh.Edits, why string) change.Record {
+		return change.Record{ID: p + string(kind), Kind: kind, By: by, Proposal: p, Digest: change.Digest(base, *e), Reason: why}
+	}
+	fold := change.NewFold(change.State{})
+	for i, r := range []change.Record{
+		{ID: "first", Kind: change.Propose, By: nadia, Proposal: "first", Edits: first},
+		answer(change.Approve, samir, "first", 0, first, ""),
+		answer(change.Release, nadia, "first", 0, first, ""),
+		answer(change.Veto, samir, "first", 0, first, "too late"),
+		{ID: "second", Kind: change.Propose, By: nadia, Proposal: "second", Base: 3, Edits: second},
+		answer(change.Veto, samir, "second", 3, second, "not before the final"),
+		{ID: "third", Kind: change.Propose, By: nadia, Proposal: "third", Base: 3, Edits: third},
+		answer(change.Approve, samir, "third", 3, third, ""),
+	} {
+		r.AtMillis = time.Date(2026, 6, 1, 9, i, 0, 0, time.UTC).UnixMilli()
+		fold.Apply(uint64(i)+1, r)
+	}
+	return fold.State()
+}
+
+// screenNode serves the API over tables that stand still.
+func screenNode(t *testing.T) *httptest.Server {
+	board := tables.New(blackboard.New(blackboard.CheckOrder()))
+	state := told()
+	routes, faults := route.Compile(state.Version, state.Config)
+	must.SliceEmpty(t, faults)
+	board.Board.Do(func(tx *blackboard.Tx) {
+		board.Changes.Set(tx, state)
+		board.Routes.Set(tx, routes)
+		for i, zone := range []mesh.Zone{"fes", "fes", "meknes"} {
+			host := mesh.HostID(fmt.Sprintf("%s-%d", zone, i+1))
+			board.Members.Put(tx, host, mesh.Member{Host: host, Zone: zone, Service: "desk", State: mesh.MemberState(i + 1)})
+			board.ServedVersions.Put(tx, host, mesh.Version(3-i))
+		}
+	}, board.Changes.Write(), board.Routes.Write(), board.Members.Write(), board.ServedVersions.Write())
+	meter := metrics.New(tally.NoopScope)
+	meter.Count("refused", verdict.NoRoute)
+	api := &operator.API{Tables: board, Clock: clock.System{}, Self: mesh.Member{Host: "fes-1", Zone: "fes"}, Meter: meter,
+		Logins: []settings.Credential{{Name: "nadia", Role: change.Operator, Token: "nadia"}}}
+	handler, err := api.Handler()
+	must.NoError(t, err)
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server
+}
+
+// TestScreens compares what operators and customers see with golden text.
+func TestScreens(t *testing.T) {
+	node := screenNode(t)
+	var text strings.Builder
+	for _, command := range []string{
+		"status", "diff third", "diff second", "history", "history --record firstveto", "history --record none",
+		"watch --after 6 --count 1", "register", "rules --json",
+	} {
+		var out, errs bytes.Buffer
+		args := append([]string{"--node", node.URL, "--token", "nadia", "--draft", filepath.Join(t.TempDir(), "d")}, strings.Fields(command)...)
+		code := run(args, &out, &errs)
+		fmt.Fprintf(&text, "$ marigold %s\n%s%s[exit %d]\n\n", command, out.String(), errs.String(), code)
+	}
+	goldie.New(t, goldie.WithNameSuffix(".txt")).Assert(t, "screens", []byte(text.String()))
+}
--- a/node/config.go
+++ b/node/config.go
@@ -72,7 +72,7 @@
 	})
 	floor.Register(p, t, floor.Config{Host: host, Started: c.Started, Count: count})
 	snapwrite.Register(p, t, snapwrite.Config{Started: c.Started, Policy: policy, Count: count})
-	activate.Register(p, t)
+	activate.Register(p, t, c.Count)
 	submit.Register(p, t, c.Count)
 }
 
--- a/test/session/world_test.go
+++ b/test/session/world_test.go
@@ -78,11 +78,11 @@
 		pool:   controller.New(w.clock, 1),
 		ioPool: controller.New(w.clock, 1),
 	}
+	meter := metrics.New(tally.NoopScope)
 	n.tables.Board.Do(func(tx *blackboard.Tx) {
 		n.tables.Floor.Set(tx, spread.Floor{Known: true}) // nothing was served before
 	}, n.tables.Floor.Write())
-	meter := metrics.New(tally.NoopScope)
-	activate.Register(n.pool, n.tables)
+	activate.Register(n.pool, n.tables, meter.Count)
 	submit.Register(n.pool, n.tables, meter.Count)
 	outbox.Serve(context.Background(), n.ioPool, n.tables.Board, "append", n.tables.Appends, n.tables.AppendsDone,
 		func(ctx context.Context, _ string, a tables.Append) tables.AppendDone { return w.append(ctx, n, a) })
