The command line checks the digest that a customer approves

The diff and its digest came from the node together: a node that showed one change and named the digest of another was believed. marigold diff now works both out from the proposal's edits and the configuration in force.

--- a/cmd/marigold/screens_test.go
+++ b/cmd/marigold/screens_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"path/filepath"
 	"strings"
@@ -88,6 +89,26 @@
 	return server
 }
 
+// A node that shows another change than the one the digest names is found out.
+func TestDiffChecksTheDigest(t *testing.T) {
+	proposal := `{"id":"p","status":"open","base":0,"digest":"DIGEST","edits":{"delete_hosts":["fes-1"]}}`
+	for digest, want := range map[string]int{
+		change.Digest(0, mesh.Edits{DeleteHosts: []mesh.HostID{"fes-1"}}): exitDone,
+		change.Digest(0, mesh.Edits{DeleteHosts: []mesh.HostID{"fes-2"}}): exitFailed,
+	} {
+		node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/v1/configuration" {
+				w.Write([]byte(`{"version":0,"config":{"hosts":{"fes-1":{"id":"fes-1"}}}}`))
+				return
+			}
+			w.Write([]byte(strings.Replace(proposal, "DIGEST", digest, 1)))
+		}))
+		var out, errs bytes.Buffer
+		must.Eq(t, want, run([]string{"--node", node.URL, "diff", "p"}, &out, &errs), must.Sprint(errs.String()))
+		node.Close()
+	}
+}
+
 // TestScreens compares what operators and customers see with golden text.
 func TestScreens(t *testing.T) {
 	node := screenNode(t)
--- a/cmd/marigold/show.go
+++ b/cmd/marigold/show.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/marigoldshelf/marigoldshelf/decide/change"
 	"github.com/marigoldshelf/marigoldshelf/decide/submit"
 	"github.com/marigoldshelf/marigoldshelf/front/operator"
@@ -19,11 +21,13 @@
 
 // Run shows what the proposal changes.
 func (c *diffCommand) Run(l *commandLine) error {
-	var d operator.Diff
-	printed, err := l.query("/v1/proposals/"+url.PathEscape(c.Proposal)+"/diff", &d)
-	if printed || err != nil {
+	d, err := l.workOutDiff(c.Proposal)
+	if err != nil {
 		return err
 	}
+	if l.JSON {
+		return l.printJSON(d)
+	}
 	l.print("Proposal %s, made from version %d:", d.Proposal, d.Base)
 	l.printView(d.View)
 	l.print("Approved by: %s", orNobody(join(d.Approved)))
@@ -31,6 +35,30 @@
 	return nil
 }
 
+// workOutDiff works out here what the proposal changes, and its digest, so that
+// the digest a customer approves is that of the change it was shown.
+func (l *commandLine) workOutDiff(id string) (operator.Diff, error) {
+	asker := *l
+	asker.JSON = false
+	var p change.Proposal
+	if _, err := asker.query("/v1/proposals/"+url.PathEscape(id), &p); err != nil {
+		return operator.Diff{}, err
+	}
+	current, err := l.inForce()
+	switch {
+	case err != nil:
+		return operator.Diff{}, err
+	case p.Status != change.Open:
+		return operator.Diff{}, eris.Errorf("proposal %s is %s: there is no diff of a closed one", p.ID, p.Status)
+	case current.Version != p.Base:
+		return operator.Diff{}, eris.Errorf("version %d was released meanwhile; ask again", current.Version)
+	case change.Digest(p.Base, p.Edits) != p.Digest:
+		return operator.Diff{}, eris.New("the node's digest is not that of the change it shows: do not approve it")
+	}
+	view := change.Compare(current.Config, current.Config.Apply(p.Edits))
+	return operator.Diff{Proposal: p.ID, Digest: p.Digest, Base: p.Base, View: view, Approved: p.Approved}, nil
+}
+
 func orNobody(text string) string {
 	if text == "" {
 		return "nobody yet"
--- a/front/operator/submit.go
+++ b/front/operator/submit.go
@@ -37,7 +37,7 @@
 	if request.Edits == nil {
 		state := a.Tables.Changes.Load()
 		if state.Version != request.Base {
-			a.fail(ctx, StaleBase, "this node is at another version than the base; send edits, or make the change anew")
+			a.fail(ctx, StaleBase, staleText(state, request.ID))
 			return
 		}
 		edits := mesh.Diff(state.Config, request.Config)
@@ -48,6 +48,15 @@
 	})
 }
 
+// staleText says why a whole configuration cannot be compared, and that an
+// earlier request with the ID may have been made.
+func staleText(state change.State, id string) string {
+	if _, found := state.Recall(id); found {
+		return "the ID is in the log already: ask GET /v1/records/" + id
+	}
+	return "this node is at another version than the base; send edits, or make the change anew"
+}
+
 // AnswerRequest is the body of POST /v1/proposals/{id}/{verb}.
 type AnswerRequest struct {
 	// ID may be left out; a request that is repeated with it counts once.
