--- a/test/process/keys_test.go
+++ b/test/process/keys_test.go
@@ -4,9 +4,12 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -38,6 +41,7 @@
 	reused := book(t, second, "cup-1", "cup-1", "?delay_ms=1")
 	must.Eq(t, http.StatusUnprocessableEntity, reused.StatusCode)
 
+	logCost(t, first)
 	third.Process.Kill()
 	for range 20 {
 		answer := book(t, second, "cup-1", "cup-1", "?delay_ms=300")
@@ -50,13 +54,37 @@
 	must.Eq(t, 1, runs(t, fleet, "cup-1"))
 }
 
+// logCost writes down how long bookings with and without a key take, one after
+// the other by turns. It is a measurement, and no check.
+func logCost(t *testing.T, n *process.Node) {
+	const bookings = 200
+	plain := make([]time.Duration, bookings)
+	keyed := make([]time.Duration, bookings)
+	for i := range bookings {
+		key := "cost-" + strconv.Itoa(i)
+		begin := time.Now()
+		book(t, n, "", key, "")
+		middle := time.Now()
+		must.Eq(t, http.StatusOK, book(t, n, key, key, "").StatusCode)
+		plain[i], keyed[i] = middle.Sub(begin), time.Since(middle)
+	}
+	slices.Sort(plain)
+	slices.Sort(keyed)
+	for _, p := range []int{50, 99} {
+		at := bookings * p / 100
+		t.Logf("p%d: without key %v, with key %v", p, plain[at], keyed[at])
+	}
+}
+
 // book sends a booking under a key and returns the answer, its body read.
 func book(t *testing.T, n *process.Node, key, run, query string) *http.Response {
 	t.Helper()
 	request, err := http.NewRequest(http.MethodPost, "http://"+n.Callers+"/book"+query, strings.NewReader("a cup"))
 	must.NoError(t, err)
 	request.Host = "desk.example"
-	request.Header.Set("Idempotency-Key", key)
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
 	request.Header.Set("X-Run", run)
 	response, err := http.DefaultClient.Do(request)
 	must.NoError(t, err)
