Prove the request path under deaths, stops, forgeries and cut answers

Cause: the promises of the request path had no tests of their own, and trailers of short answers were lost: the server gave them a length.

--- a/cmd/backend-standin/main.go
+++ b/cmd/backend-standin/main.go
@@ -2,7 +2,10 @@
 // and demonstrations. It answers every request with its own name, the method,
 // the path and the SHA-256 of the body, and counts runs by the header X-Run.
 // GET /standin/runs?run=ID tells how often that one ran. The query parameter
-// delay_ms makes an answer slow. It prints its address as one line of JSON.
+// delay_ms makes an answer slow; cut=length and cut=chunks break it off half
+// way, forge=1 adds headers of the nodes, trailer=1 adds a trailer with the
+// SHA-256, shed=1 answers 503 with the header X-Not-Run and counts no run.
+// It prints its address as one line of JSON.
 package main
 
 import (
@@ -64,6 +67,11 @@
 }
 
 func (b *backend) answer(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Get("shed") != "" {
+		w.Header().Set("X-Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	b.note(r.Header.Get("X-Run"))
 	sum := sha256.New()
 	n, err := io.Copy(sum, r.Body)
@@ -74,11 +82,32 @@
 		pause(r, time.Duration(delay)*time.Millisecond)
 	}
 	w.Header().Set("Content-Type", "application/json")
+	if r.URL.Query().Get("forge") != "" {
+		w.Header().Set("Marigold-Verdict", "not-run")
+		w.Header().Set("Marigold-Reason", "shed")
+	}
+	if cut := r.URL.Query().Get("cut"); cut != "" {
+		cutShort(w, cut)
+	}
+	if r.URL.Query().Get("trailer") != "" {
+		w.Header().Set("Trailer", "X-Sum")
+		defer w.Header().Set("X-Sum", hex.EncodeToString(sum.Sum(nil)))
+	}
 	_ = json.NewEncoder(w).Encode(answerBody{
 		Backend: b.name, Method: r.Method, Path: r.URL.Path, Bytes: n, SHA256: hex.EncodeToString(sum.Sum(nil)),
 	})
 }
 
+// cutShort sends a part of an answer and breaks the connection.
+func cutShort(w http.ResponseWriter, how string) {
+	if how == "length" {
+		w.Header().Set("Content-Length", "1000000")
+	}
+	_, _ = w.Write(make([]byte, 5000))
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
 // pause waits for d, or until the request is cancelled.
 func pause(r *http.Request, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/encoding/hop/body.go
+++ b/encoding/hop/body.go
@@ -69,8 +69,7 @@
 			}
 		}
 		if err == io.EOF {
-			copyTrailers(w.Header(), from.Trailer)
-			return nil
+			return copyTrailers(w, control, from.Trailer)
 		}
 		if err != nil {
 			return eris.Wrap(err, "read body")
@@ -90,16 +89,24 @@
 	return r.ContentLength >= 0 || r.Body == http.NoBody || len(r.TransferEncoding) > 0 || r.Uncompressed
 }
 
-// copyTrailers sends the trailers after the body.
-func copyTrailers(to, trailers http.Header) {
+// copyTrailers sends the trailers after the body. The flush keeps the server
+// from giving a short body a length, which leaves no place for trailers.
+func copyTrailers(w http.ResponseWriter, control *http.ResponseController, trailers http.Header) error {
+	if len(trailers) == 0 {
+		return nil
+	}
+	if err := control.Flush(); err != nil {
+		return eris.Wrap(err, "flush body")
+	}
 	for name, values := range trailers {
 		if strings.HasPrefix(name, prefix) {
 			continue
 		}
 		for _, value := range values {
-			to.Add(http.TrailerPrefix+name, value)
+			w.Header().Add(http.TrailerPrefix+name, value)
 		}
 	}
+	return nil
 }
 
 // Trailers returns the trailers that a request announced, to be sent on after
--- a/test/bubble/calls_test.go
+++ b/test/bubble/calls_test.go
@@ -103,13 +103,17 @@
 		for _, id := range everyone {
 			stops.Go(func() { f.Stop(id) })
 		}
-		time.Sleep(20 * time.Second)
+		for range 2 { // longer than any one bound of the servers, short of the deadline
+			time.Sleep(20 * time.Second)
+			for _, u := range uploads {
+				_, err := io.WriteString(u.rest, half)
+				must.NoError(t, err)
+			}
+		}
 		for _, u := range uploads {
-			_, err := io.WriteString(u.rest, half)
-			must.NoError(t, err)
 			must.NoError(t, u.rest.Close())
 			answer := <-u.answer
-			must.True(t, answer == "200 OK "+half+half, must.Sprintf("%.80s, %d bytes", answer, len(answer)))
+			must.True(t, answer == "200 OK "+strings.Repeat(half, 3), must.Sprintf("%.80s, %d bytes", answer, len(answer)))
 		}
 		stops.Wait()
 	})
--- a/test/process/fleet.go
+++ b/test/process/fleet.go
@@ -41,8 +41,10 @@
 type Node struct {
 	node.Addresses
 	Backend string
-	Process *Process
-	file    string
+	// BackendProcess is the host's backend server.
+	BackendProcess *Process
+	Process        *Process
+	file           string
 }
 
 // NewFleet builds the programs and starts the platform's stand-in.
@@ -59,13 +61,13 @@
 func (f *Fleet) Add(host mesh.HostID, zone mesh.Zone, service mesh.ServiceName) *Node {
 	f.t.Helper()
 	var backend struct{ Address string }
-	Start(f.t, &backend, filepath.Join(f.programs, "backend-standin"), "--name", string(host))
+	backendProcess := Start(f.t, &backend, filepath.Join(f.programs, "backend-standin"), "--name", string(host))
 	s := settings.Settings{
 		Host:     host,
 		Zone:     zone,
 		Listen:   settings.Listen{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Operators: "127.0.0.1:0"},
 		Peers:    settings.Peers{Secret: peersSecret},
-		Backend:  settings.Backend{Service: service, Address: backend.Address, Slots: 6},
+		Backend:  settings.Backend{Service: service, Address: backend.Address, Slots: 6, NotRunHeader: "X-Not-Run"},
 		Platform: settings.Platform{URL: "http://" + f.Platform},
 		Logins: []settings.Credential{
 			{Name: "op", Role: change.Operator, Token: OperatorToken},
@@ -76,7 +78,7 @@
 	must.NoError(f.t, err)
 	file := filepath.Join(f.t.TempDir(), string(host)+".json")
 	must.NoError(f.t, os.WriteFile(file, data, 0o600))
-	n := &Node{Backend: backend.Address, file: file}
+	n := &Node{Backend: backend.Address, BackendProcess: backendProcess, file: file}
 	f.Nodes[host] = n
 	f.Restart(host)
 	return n
