A bubble ends only after what it began

Cause of a flaky TestKeyKnownBeforeItsRunSurvivesOneDeath (seen twice on a busy machine: blocked goroutines remain): a transport goes on with a dial after its request has ended, and such a dial outlived the test. The fleet now waits for them, in virtual time, before it ends the network.

--- a/test/bubble/fleet.go
+++ b/test/bubble/fleet.go
@@ -81,13 +81,22 @@
 // clientIP is where callers and operators call from.
 const clientIP = "10.255.0.1"
 
-// Close ends every host; call it before the bubble's function returns.
+// drainTime is longer than any dial or timer that outlives its node.
+const drainTime = 10 * time.Second
+
+// Close ends every host; call it before the bubble's function returns. Dials
+// that a transport goes on with after their request has ended are waited for:
+// a bubble must not end before all that it began.
 func (f *Fleet) Close() {
 	f.Network.SetCut(nil)
 	for _, h := range f.Hosts {
 		h.kill()
 		h.Backend.close()
 	}
+	time.Sleep(drainTime)
+	for _, h := range f.Hosts {
+		f.Network.Kill(h.IP)
+	}
 	f.client.CloseIdleConnections()
 	f.Network.Kill(clientIP)
 }
