--- a/controllers/membership/receive.go
+++ b/controllers/membership/receive.go
@@ -38,7 +38,6 @@
 	for _, r := range m.News {
 		f.learn(tx, now, r, passOn)
 	}
-	f.correct(tx, e)
 	for _, r := range m.Reaches {
 		f.learnReach(tx, r)
 	}
@@ -59,24 +58,6 @@
 	}
 }
 
-// correct tells the sender of old news which of the members are gone. Tables
-// are compared by the members that are not, so it may not learn it otherwise.
-func (f fleet) correct(tx *blackboard.Tx, e membership.Envelope) {
-	if e.Message.Kind == membership.Page {
-		return // answered as a whole
-	}
-	var gone []membership.Record
-	for _, r := range e.Message.News {
-		peer, known := f.Peers.Get(tx, r.Member.Host)
-		if known && peer.Phase == membership.Gone && peer.Supersedes(r) {
-			gone = append(gone, peer.Record)
-		}
-	}
-	for _, chunk := range membership.Chunks(gone) {
-		f.send(tx, e.Address, membership.Message{Kind: membership.Gossip, News: chunk})
-	}
-}
-
 // answer acknowledges a ping that is meant for this node. It goes back to
 // where the ping came from, with what is held of the pinger if that is not so.
 func (f fleet) answer(tx *blackboard.Tx, e membership.Envelope) {
