Measure how fast a release is in force everywhere

marigold convergence runs the nodes' own code on a virtual clock for several sizes, beside the baseline in which every node reads the platform's log, and prints one flat JSON object each.

--- /dev/null
+++ b/cmd/marigold/convergence.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+
+	"github.com/marigoldshelf/marigoldshelf/measure/convergence"
+)
+
+// convergenceCommand measures the distribution of releases on a virtual clock.
+type convergenceCommand struct {
+	Nodes   []int  `default:"13,50,100,200" help:"Sizes of the fleet."`
+	Zones   int    `default:"4" help:"Availability zones."`
+	Changes int    `default:"50" help:"Releases for each size."`
+	Seed    uint64 `default:"1" help:"Seed of delays and draws."`
+}
+
+// Run prints one JSON object for each size and scheme.
+func (c *convergenceCommand) Run() error {
+	out := json.NewEncoder(os.Stdout)
+	for _, nodes := range c.Nodes {
+		for _, scheme := range []convergence.Scheme{convergence.Tree, convergence.AllTail} {
+			result, err := convergence.Measure(scheme, nodes, c.Zones, c.Changes, c.Seed)
+			if err != nil {
+				return err
+			}
+			if err := out.Encode(result); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- a/internal/stepped/fleet.go
+++ b/internal/stepped/fleet.go
@@ -70,6 +70,8 @@
 	Pulls, PullBytes int
 	// Asked has the bytes that each node sent and received as the one asked.
 	Asked map[mesh.HostID]int
+	// AskedTimes counts those exchanges.
+	AskedTimes map[mesh.HostID]int
 	// Reads, ReadBytes and Appends are requests to the platform.
 	Reads, ReadBytes, Appends int
 }
@@ -85,7 +87,7 @@
 		Log:     standin.New(virtual, o.Log),
 		Nodes:   make(map[mesh.HostID]*Node),
 		Counts:  make(map[[2]string]int),
-		Traffic: Traffic{Asked: make(map[mesh.HostID]int)},
+		Traffic: Traffic{Asked: make(map[mesh.HostID]int), AskedTimes: make(map[mesh.HostID]int)},
 		options: o,
 		random:  rand.New(rand.NewPCG(o.Seed, o.Seed)),
 	}
--- a/internal/stepped/node.go
+++ b/internal/stepped/node.go
@@ -200,6 +200,7 @@
 			f.Traffic.Pulls++
 			f.Traffic.PullBytes += size
 			f.Traffic.Asked[a.To.Host] += size
+			f.Traffic.AskedTimes[a.To.Host]++
 			f.after(f.oneWay(), func() {
 				decoded, err := distrib.ToAnswer(reply)
 				finish(tables.AskResult{Ask: a, Answer: decoded, Err: err})
