A steady stream of changes no longer sends every node from its parent

Measured with a change every 5 s, the slowest release took 35 s at 50 to 200 nodes: no read of the log came back empty, so the age of the last confirmed end of the log grew, all sources counted as stale, and nodes went round, also to nodes that asked them. Staleness now goes by when the log last answered at all, and only readers are gone round without a failure.

The new test failed before at the first slow release.

--- a/controllers/follow/follow.go
+++ b/controllers/follow/follow.go
@@ -169,11 +169,15 @@
 	}
 	fold(tx, t, a.config.Changes, now, fresh)
 	feed := t.Feed.Get(tx)
+	next := feed
 	if r.Answer.AgeKnown && feed.Offset >= r.Answer.Offset {
-		confirmed := feed.ConfirmedAt(r.Ask.At.Add(-r.Answer.Age))
-		if confirmed.Confirmed.After(feed.Confirmed) {
-			t.Feed.Set(tx, confirmed)
-		}
+		next = next.ConfirmedAt(r.Ask.At.Add(-r.Answer.Age))
+	}
+	if r.Answer.ContactKnown {
+		next = next.ContactAt(now.Add(-r.Answer.ContactAge))
+	}
+	if next.Confirmed != feed.Confirmed || next.Contact != feed.Contact {
+		t.Feed.Set(tx, next)
 	}
 	return true
 }
--- a/controllers/follow/log.go
+++ b/controllers/follow/log.go
@@ -75,13 +75,16 @@
 
 // Observe notes whether the log answers, and that it had nothing more when an
 // answer was empty.
-func (l Log) Observe(tx *blackboard.Tx, _ time.Time, batch tables.LogBatch) {
+func (l Log) Observe(tx *blackboard.Tx, now time.Time, batch tables.LogBatch) {
 	feed := l.Tables.Feed.Get(tx)
 	_, expired := platform.Oldest(batch.Err)
 	failing := batch.Err != nil && !expired
 	if failing {
 		l.Count(logUnanswered)
 	}
+	if !failing {
+		feed = feed.ContactAt(now)
+	}
 	if batch.Err == nil && len(batch.Records) == 0 {
 		feed = feed.ConfirmedAt(batch.At)
 	}
--- a/decide/spread/assign.go
+++ b/decide/spread/assign.go
@@ -55,6 +55,8 @@
 	// of the others, and last some other nodes of the zone. A reader asks only
 	// when the log fails it, and begins with the other zones.
 	Sources []Source
+	// Readers is the number of Sources that are readers; they come first.
+	Readers int
 	// Witnesses are the nodes that may hold what this host served: the other
 	// members of the zone and the readers of the other zones.
 	Witnesses []Source
@@ -65,7 +67,7 @@
 
 // Equal reports whether both roles are the same.
 func (r Role) Equal(o Role) bool {
-	return r.Reader == o.Reader && r.WriterRank == o.WriterRank && r.Parent == o.Parent &&
+	return r.Reader == o.Reader && r.WriterRank == o.WriterRank && r.Parent == o.Parent && r.Readers == o.Readers &&
 		slices.Equal(r.Sources, o.Sources) && slices.Equal(r.Witnesses, o.Witnesses)
 }
 
@@ -114,6 +116,7 @@
 	} else {
 		role.Sources = toSources(self, own, others, head(rest, lastResorts))
 	}
+	role.Readers = len(toSources(self, own, others))
 	role.Witnesses = toSources(self, zone, others)
 	return role
 }
--- a/decide/spread/feed.go
+++ b/decide/spread/feed.go
@@ -33,6 +33,10 @@
 	// Confirmed is the latest instant, by the own clock, at which the log is
 	// known to have had no record above Offset; zero for none.
 	Confirmed time.Time
+	// Contact is when the log last answered, this node or those through which
+	// the feed came; zero for never. It tells a working source from one that
+	// is cut off, also while records come so often that Confirmed stands still.
+	Contact time.Time
 	// Tip is the newest bounds of the log that were read.
 	Tip Tip
 	// LogFailing is true while the last read of the log had no answer.
@@ -127,6 +131,14 @@
 	return f
 }
 
+// ContactAt notes that the log answered at instant at.
+func (f Feed) ContactAt(at time.Time) Feed {
+	if at.After(f.Contact) {
+		f.Contact = at
+	}
+	return f
+}
+
 // Age is how long ago the feed was known to be at the log's end, and whether
 // it ever was.
 func (f Feed) Age(now time.Time) (time.Duration, bool) {
--- a/decide/spread/lane.go
+++ b/decide/spread/lane.go
@@ -13,7 +13,7 @@
 	// staleAfter is the age of the asked node's last contact with the log from
 	// which on another one is tried; a tree of four levels stays below it
 	// while nothing happens.
-	staleAfter = 2 * time.Minute
+	staleAfter = time.Minute
 	// homeAfter is how long a node stays with another source than its first.
 	homeAfter = 30 * time.Second
 	// backoffBase and backoffLimit bound the pause after a failure.
@@ -93,6 +93,9 @@
 		return a.Hint.Source, true
 	}
 	list := a.Role.Sources
+	if l.Failures == 0 {
+		list = list[:a.Role.Readers]
+	}
 	if a.Role.Parent.Host != "" && a.Floor.Known {
 		list = append([]Source{a.Role.Parent}, list...)
 	}
@@ -117,7 +120,7 @@
 	}
 	l.Failures = 0
 	l.NextAt = now
-	if a.AgeKnown && a.Age > staleAfter {
+	if a.ContactKnown && a.ContactAge > staleAfter {
 		return l.switched(now, l.Index+1)
 	}
 	if l.Index != 0 && now.Sub(l.SwitchedAt) > homeAfter {
--- a/decide/spread/serve.go
+++ b/decide/spread/serve.go
@@ -77,6 +77,10 @@
 	// the log's end, zero if it was since; it counts when AgeKnown.
 	Age      time.Duration
 	AgeKnown bool
+	// ContactAge is how long before the answer the log last answered the nodes
+	// that lead to it; it counts when ContactKnown.
+	ContactAge   time.Duration
+	ContactKnown bool
 	// RetryAfter is the pause asked for by Busy.
 	RetryAfter time.Duration
 }
@@ -97,6 +101,9 @@
 	a, cost := decide(now, p, s)
 	a.Offset = s.Feed.Offset
 	a.Age, a.AgeKnown = s.Feed.Age(p.Arrived)
+	if a.ContactKnown = !s.Feed.Contact.IsZero(); a.ContactKnown {
+		a.ContactAge = max(now.Sub(s.Feed.Contact), 0)
+	}
 	budget, wait := s.Budget.take(now, cost)
 	if wait > 0 {
 		a = Answer{Kind: Busy, Offset: a.Offset, RetryAfter: wait + time.Duration(s.Draw*float64(busySpread))}
--- a/encoding/distrib/convert.go
+++ b/encoding/distrib/convert.go
@@ -39,6 +39,7 @@
 	m := &PullAnswer{
 		Kind: uint32(a.Kind), Offset: a.Offset, Digest: fromDigest(a.Digest),
 		AgeNs: uint64(a.Age), AgeKnown: a.AgeKnown, RetryAfterMs: uint64(a.RetryAfter.Milliseconds()),
+		ContactAgeMs: uint64(a.ContactAge.Milliseconds()), ContactKnown: a.ContactKnown,
 	}
 	for _, r := range a.Records {
 		m.Records = append(m.Records, &Record{Offset: r.Offset, Data: r.Data})
@@ -57,6 +58,7 @@
 		Kind: spread.Kind(min(m.Kind, uint32(spread.Hold))), Offset: m.Offset, Digest: digest,
 		Age: time.Duration(m.AgeNs), AgeKnown: m.AgeKnown,
 		RetryAfter: time.Duration(m.RetryAfterMs) * time.Millisecond,
+		ContactAge: time.Duration(m.ContactAgeMs) * time.Millisecond, ContactKnown: m.ContactKnown,
 	}
 	for _, r := range m.Records {
 		a.Records = append(a.Records, spread.Record{Offset: r.Offset, Data: r.Data})
@@ -64,7 +66,7 @@
 	if c := m.Chunk; c != nil {
 		a.Chunk = snapshot.Chunk{ID: c.ID, Offset: c.Offset, Index: int(c.Index), Count: int(c.Count), Data: c.Data}
 	}
-	if err == nil && (a.Age < 0 || a.RetryAfter < 0) {
+	if err == nil && (a.Age < 0 || a.RetryAfter < 0 || a.ContactAge < 0) {
 		err = eris.New("distrib: answer with a bad duration")
 	}
 	return a, err
--- a/internal/stepped/faults_test.go
+++ b/internal/stepped/faults_test.go
@@ -177,3 +177,24 @@
 		must.Eq(t, 0, n.Tables.Shelf.Load().Corrupt)
 	}
 }
+
+// Changes that come so often that no read of the log ever comes back empty
+// leave every node with its parent; so does an outage that made all look for
+// others, once the platform is back.
+func TestSteadyChangesReachEveryNodeAtOnce(t *testing.T) {
+	f := stepped.New(stepped.Options{Seed: 9, Delay: time.Millisecond})
+	o := newOperators(t, f)
+	start(f, zones[:2], 15)
+	f.Run(3 * time.Second)
+	for range 60 {
+		version := o.release()
+		must.True(t, f.RunUntil(time.Second, inForce(f, version)), must.Sprintf("version %d: %v", version, f.Counts))
+		f.Run(5 * time.Second)
+	}
+	f.Log.SetFaults(standin.Faults{Down: true})
+	f.Run(10 * time.Minute)
+	f.Log.SetFaults(standin.Faults{})
+	f.Run(15 * time.Second)
+	version := o.release()
+	must.True(t, f.RunUntil(time.Second, inForce(f, version)), must.Sprintf("%v", f.Counts))
+}
