--- a/test/process/process.go
+++ b/test/process/process.go
@@ -103,3 +103,6 @@
 		return ctx.Err()
 	}
 }
+
+// ID returns the process's number.
+func (p *Process) ID() int { return p.command.Process.Pid }
