An early answer closes the connection whose body was not read

Cause of "invalid concurrent Body.Read call" in the server's log (two tests of test/bubble): full duplex was on for every request, and net/http reads the rest of an unread body after the handler, which starts its background read, so that the connection's next request panics. Ruled out: late reads by the transport. Before: TestEarlyAnswerLeavesTheConnectionInOrder fails with that panic; after: it passes. Now full duplex is for long bodies only, and an answer that begins before such a body has ended closes the connection.

--- /dev/null
+++ b/encoding/hop/duplex_test.go
@@ -0,0 +1,65 @@
+package hop_test
+
+import (
+	"bytes"
+	"io"
+	"log"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/marigoldshelf/marigoldshelf/encoding/hop"
+)
+
+// lockedBuffer takes a server's log.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	log bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.log.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.log.String()
+}
+
+// TestEarlyAnswerLeavesTheConnectionInOrder answers requests whose bodies the
+// handler has not read, and sends more on the same client. net/http's server
+// panics on a kept connection when a full duplex handler leaves a body unread.
+func TestEarlyAnswerLeavesTheConnectionInOrder(t *testing.T) {
+	var faults lockedBuffer
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w = hop.FullDuplex(w, r)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	server.Config.ErrorLog = log.New(&faults, "", 0)
+	server.Start()
+	defer server.Close()
+	for range 20 {
+		for _, body := range []io.Reader{
+			strings.NewReader("short"),
+			strings.NewReader(strings.Repeat("long ", 40_000)),
+			io.MultiReader(strings.NewReader("of unknown length")),
+			nil,
+		} {
+			response, err := server.Client().Post(server.URL, "text/plain", body)
+			if err != nil {
+				continue // the server ended a connection before the body was through
+			}
+			must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
+			response.Body.Close()
+		}
+	}
+	server.Close()
+	must.Eq(t, "", faults.String())
+}
--- a/front/caller/handler.go
+++ b/front/caller/handler.go
@@ -74,9 +74,7 @@
 
 // ServeHTTP answers one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	// Without full duplex the server would read a whole upload before it
-	// writes an early answer. HTTP/1.0 and tests do without.
-	_ = http.NewResponseController(w).EnableFullDuplex()
+	w = hop.FullDuplex(w, r)
 	if h.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
--- a/front/peer/handler.go
+++ b/front/peer/handler.go
@@ -45,7 +45,7 @@
 
 // ServeHTTP answers one forwarded request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	_ = http.NewResponseController(w).EnableFullDuplex()
+	w = hop.FullDuplex(w, r)
 	request, err := hop.ReadRequest(r.Header)
 	if err != nil || request.Timeout == 0 {
 		h.refuse(w, verdict.New(verdict.NotRun, verdict.BadRequest, err), 0)
