--- /dev/null
+++ b/decide/drain/drain_test.go
@@ -0,0 +1,44 @@
+package drain_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/marigoldshelf/marigoldshelf/decide/drain"
+)
+
+const limit = time.Minute
+
+var start = time.Unix(1_000_000, 0)
+
+func TestStopWaitsForWhatIsUnderWayAndIsToldOfTheLimit(t *testing.T) {
+	upload := drain.Underway{Admitted: 1}
+	s := drain.State{}.Stop(start)
+	must.True(t, s.Draining)
+	s, _ = s.Advance(start, drain.Underway{}, limit)
+	must.False(t, s.Done, must.Sprint("it refuses truthfully for a while, also with nothing under way"))
+
+	s, _ = s.Advance(start.Add(limit-time.Second), upload, limit)
+	must.False(t, s.Overdue)
+	s, _ = s.Advance(start.Add(limit), upload, limit)
+	must.True(t, s.Overdue)
+	must.False(t, s.Done, must.Sprint("nothing is cut"))
+	must.Eq(t, start.Add(limit), s.Told)
+
+	s, _ = s.Advance(start.Add(2*limit), drain.Underway{}, limit)
+	must.True(t, s.Done)
+}
+
+func TestSecondStopKeepsTheFirstOnesStart(t *testing.T) {
+	s := drain.State{}.Stop(start)
+	must.Eq(t, s, s.Stop(start.Add(time.Hour)))
+}
+
+func TestDrainWithoutStopNeverEndsTheNode(t *testing.T) {
+	s := drain.State{Draining: true, Since: start}
+	next, after := s.Advance(start.Add(time.Hour), drain.Underway{}, limit)
+	must.Eq(t, s, next)
+	must.Zero(t, after)
+}
--- a/test/bubble/operate.go
+++ b/test/bubble/operate.go
@@ -34,6 +34,8 @@
 	HostName string
 	Path     string
 	Body     string
+	// Stream is the body in place of Body, of unknown length.
+	Stream io.Reader
 	// Run names the request in the backend servers' counts.
 	Run string
 	// Key is the idempotency key; empty for none.
@@ -49,7 +51,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), r.Timeout)
 	defer cancel()
 	address := "http://" + f.Hosts[at].IP + ":7100" + r.Path
-	request, err := http.NewRequestWithContext(ctx, r.Method, address, strings.NewReader(r.Body))
+	if r.Stream == nil {
+		r.Stream = strings.NewReader(r.Body)
+	}
+	request, err := http.NewRequestWithContext(ctx, r.Method, address, r.Stream)
 	must.NoError(f.t, err)
 	request.Host = r.HostName
 	request.Header.Set(HeaderRun, r.Run)
