Measurements under one command; a planned stop meets longer uploads

marigold measure has load, convergence, hol, stragglers and overload. A trial that let a stopping node end after its grace had passed TestPlannedStopCutsNothing, whose uploads were shorter than the grace; they now take 4 s.

--- a/cmd/marigold/convergence.go
+++ b/cmd/marigold/convergence.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"os"
 
 	"github.com/marigoldshelf/marigoldshelf/measure/convergence"
 )
@@ -16,8 +15,8 @@
 }
 
 // Run prints one JSON object for each size and scheme.
-func (c *convergenceCommand) Run() error {
-	out := json.NewEncoder(os.Stdout)
+func (c *convergenceCommand) Run(l *commandLine) error {
+	out := json.NewEncoder(l.out)
 	for _, nodes := range c.Nodes {
 		for _, scheme := range []convergence.Scheme{convergence.Tree, convergence.AllTail} {
 			result, err := convergence.Measure(scheme, nodes, c.Zones, c.Changes, c.Seed)
--- a/cmd/marigold/main.go
+++ b/cmd/marigold/main.go
@@ -38,22 +38,20 @@
 	JSON  bool   `name:"json" help:"Print JSON."`
 	Draft string `default:"marigold-draft.json" env:"MARIGOLD_DRAFT" type:"path" help:"File that keeps what is staged."`
 
-	Register    registerCommand    `cmd:"" help:"Stage an edited asset register; without a file, print the one in force."`
-	Rules       rulesCommand       `cmd:"" help:"Stage edited rules; without a file, print those in force."`
-	Propose     proposeCommand     `cmd:"" help:"Propose what is staged, or the files given."`
-	Approve     approveCommand     `cmd:"" help:"Approve a proposal, as a customer concerned."`
-	Veto        vetoCommand        `cmd:"" help:"Veto a proposal, as a customer concerned."`
-	Release     releaseCommand     `cmd:"" help:"Put an approved proposal in force."`
-	Withhold    withholdCommand    `cmd:"" help:"Close a proposal without releasing it."`
-	Status      statusCommand      `cmd:"" help:"Show zones, versions, members, slots, refusals and the platform."`
-	Diff        diffCommand        `cmd:"" help:"Show what a proposal changes in routes and resources."`
-	History     historyCommand     `cmd:"" help:"Show the proposals and what was said to them, or what became of one record."`
-	Watch       watchCommand       `cmd:"" help:"Show changes as they come, until interrupted."`
-	Drain       drainCommand       `cmd:"" help:"Let a host's backend server take no new work; its node must be the one asked."`
-	Check       checkCommand       `cmd:"" help:"Check files without a node."`
-	Simulate    simulateCommand    `cmd:"" help:"Run the request path's decisions against a queue model."`
-	Measure     measureCommand     `cmd:"" help:"Send load at given rates and report what came of it."`
-	Convergence convergenceCommand `cmd:"" help:"Measure how fast a release is in force everywhere, on a virtual clock."`
+	Register registerCommand `cmd:"" help:"Stage an edited asset register; without a file, print the one in force."`
+	Rules    rulesCommand    `cmd:"" help:"Stage edited rules; without a file, print those in force."`
+	Propose  proposeCommand  `cmd:"" help:"Propose what is staged, or the files given."`
+	Approve  approveCommand  `cmd:"" help:"Approve a proposal, as a customer concerned."`
+	Veto     vetoCommand     `cmd:"" help:"Veto a proposal, as a customer concerned."`
+	Release  releaseCommand  `cmd:"" help:"Put an approved proposal in force."`
+	Withhold withholdCommand `cmd:"" help:"Close a proposal without releasing it."`
+	Status   statusCommand   `cmd:"" help:"Show zones, versions, members, slots, refusals and the platform."`
+	Diff     diffCommand     `cmd:"" help:"Show what a proposal changes in routes and resources."`
+	History  historyCommand  `cmd:"" help:"Show the proposals and what was said to them, or what became of one record."`
+	Watch    watchCommand    `cmd:"" help:"Show changes as they come, until interrupted."`
+	Drain    drainCommand    `cmd:"" help:"Let a host's backend server take no new work; its node must be the one asked."`
+	Check    checkCommand    `cmd:"" help:"Check files without a node."`
+	Measure  measureCommand  `cmd:"" help:"Send load, or measure decisions and distribution on a virtual clock."`
 
 	out io.Writer
 }
--- a/cmd/marigold/measure.go
+++ b/cmd/marigold/measure.go
@@ -13,13 +13,22 @@
 	"github.com/marigoldshelf/marigoldshelf/network"
 )
 
+// measureCommand holds the measurements, a command each.
 type measureCommand struct {
+	Load        loadCommand        `cmd:"" help:"Send load at given rates and report what came of it."`
+	Convergence convergenceCommand `cmd:"" help:"How fast a release is in force everywhere, and its cost, beside every node polling."`
+	HOL         modelCommand       `cmd:"" name:"hol" help:"Bookings beside uploads, for several ways of admission."`
+	Stragglers  modelCommand       `cmd:"" help:"Lookups while some backend servers are slow, for several ways of choosing."`
+	Overload    modelCommand       `cmd:"" help:"Three times capacity, for several ways of admission."`
+}
+
+type loadCommand struct {
 	File    string   `arg:"" help:"Experiment file (JSON); examples/load.json is one."`
 	Targets []string `required:"" help:"Callers' listeners, IP:port, or backend servers to measure without nodes."`
 }
 
 // Run does the experiment and prints its report as JSON.
-func (c *measureCommand) Run() error {
+func (c *loadCommand) Run() error {
 	data, err := os.ReadFile(c.File)
 	if err != nil {
 		return eris.Wrap(err, "measure")
--- a/test/bubble/faults_test.go
+++ b/test/bubble/faults_test.go
@@ -200,17 +200,20 @@
 	})
 }
 
+// TestPlannedStopCutsNothing stops a node while uploads of four seconds run
+// there: longer than a stopping node goes on without need.
 func TestPlannedStopCutsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f, _ := started(t)
+		f, version := started(t)
 		defer f.Close()
+		f.AwaitVersion(f.Release("fes-1", "patient", version, 4*deadline), everyone...)
 		for _, h := range f.Hosts {
-			h.Backend.SetDelay(300 * time.Millisecond)
+			h.Backend.SetDelay(4 * time.Second)
 		}
-		load := f.StartLoad("desk", mesh.Upload, 100*time.Millisecond, "fes-1", "meknes-1")
-		time.Sleep(time.Second)
+		load := f.StartLoad("desk", mesh.Upload, time.Second, "fes-1", "meknes-1")
+		time.Sleep(5 * time.Second)
 		f.Stop("fes-2")
-		time.Sleep(2 * time.Second)
+		time.Sleep(5 * time.Second)
 		o := load.Check(mesh.Upload)
 		must.Zero(t, o.NotRun+o.MayHaveRun+o.NoAnswer, must.Sprintf("a planned stop cuts nothing: %+v", o))
 	})
