Workers and timers are woken only where there is something new

Cause: a key queued again by its own call woke another worker, although the one that called it looks at the queue next; and each call that asked for a later one woke the timers' goroutine, also where the earliest timer had not moved.

--- a/controller/pool.go
+++ b/controller/pool.go
@@ -116,9 +116,13 @@
 	if p.queued[it] {
 		return
 	}
+	p.pushLocked(it)
+	p.ready.Signal()
+}
+
+func (p *Pool) pushLocked(it item) {
 	p.queued[it] = true
 	p.queue = append(p.queue, it)
-	p.ready.Signal()
 }
 
 func (p *Pool) addAt(it item, due time.Time) {
@@ -157,12 +161,12 @@
 	again := p.running[it]
 	delete(p.running, it)
 	p.timers.remove(it)
-	if result.After > 0 {
-		p.timers.setEarlier(it, now.Add(result.After))
+	if result.After > 0 && p.timers.setEarlier(it, now.Add(result.After)) {
 		p.signalTimers()
 	}
 	if again {
-		p.addLocked(it)
+		// No signal: the worker that called it looks at the queue next.
+		p.pushLocked(it)
 	}
 }
 
