A refusal does not wait for the sender that it refuses

Cause: the read deadline was cleared after it had run out; net/http reads the rest of a short body before it writes an answer, and waited without end for a sender that had announced a length and stalled. Since long bodies alone are full duplex this held for short ones too. A body with an idempotency key had no bound at all. Before: TestSlowSenderIsRefusedAndHoldsNoSlot did not end; after: each of its six kinds is refused as slow_sender within twice the idle bound. Now the deadline stays, and keyed bodies have the same bound.

--- a/encoding/hop/body.go
+++ b/encoding/hop/body.go
@@ -40,10 +40,12 @@
 	// A connection without deadlines is one of a test; it is not bounded.
 	_ = b.control.SetReadDeadline(time.Now().Add(b.idle))
 	n, err := b.from.Read(p)
-	_ = b.control.SetReadDeadline(time.Time{})
 	if err != nil && eris.Is(err, os.ErrDeadlineExceeded) {
-		err = ErrSlowSender
+		// The deadline stays: the server reads a body's rest before it writes a
+		// refusal, and would wait for this sender without end.
+		return n, ErrSlowSender
 	}
+	_ = b.control.SetReadDeadline(time.Time{})
 	return n, err
 }
 
--- a/front/keyed/keyed.go
+++ b/front/keyed/keyed.go
@@ -42,6 +42,8 @@
 	Tables *tables.Tables
 	Clock  clock.Clock
 	Config idempotency.Config
+	// Idle bounds the pause between the bytes of a body.
+	Idle time.Duration
 	// Next serves requests without a key, and those whose claim was granted.
 	Next http.Handler
 	// Count is told the reason of each refusal, and that an answer was replayed.
@@ -55,9 +57,9 @@
 		h.Next.ServeHTTP(w, r)
 		return
 	}
-	claim, err := h.begin(r, rule)
+	claim, err := h.begin(w, r, rule)
 	if err != nil {
-		h.refuse(w, verdict.New(verdict.NotRun, verdict.BadRequest, err))
+		h.refuse(w, verdict.New(verdict.NotRun, reasonOf(err), err))
 		return
 	}
 	claim, err = h.claim(r.Context(), claim)
@@ -87,12 +89,13 @@
 }
 
 // begin makes the claim. It reads the body, and puts it back for Next.
-func (h *Handler) begin(r *http.Request, rule mesh.Rule) (idempotency.Claim, error) {
+func (h *Handler) begin(w http.ResponseWriter, r *http.Request, rule mesh.Rule) (idempotency.Claim, error) {
 	values := r.Header.Values(headerKey)
 	if len(values) != 1 || !idempotency.ValidKey(values[0]) {
 		return idempotency.Claim{}, eris.New("malformed idempotency key")
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes+1))
+	patient := hop.NewPatientBody(w, r, h.Idle)
+	body, err := io.ReadAll(io.LimitReader(patient, maxBodyBytes+1))
 	if err != nil {
 		return idempotency.Claim{}, eris.Wrap(err, "read body")
 	}
@@ -110,6 +113,14 @@
 	}, nil
 }
 
+// reasonOf says why a request could not be begun.
+func reasonOf(err error) verdict.Reason {
+	if eris.Is(err, hop.ErrSlowSender) {
+		return verdict.SlowSender
+	}
+	return verdict.BadRequest
+}
+
 // claim waits for the decision on a claim.
 func (h *Handler) claim(ctx context.Context, c idempotency.Claim) (idempotency.Claim, error) {
 	t := h.Tables
@@ -186,6 +197,8 @@
 	switch reason {
 	case verdict.BadRequest:
 		return http.StatusBadRequest
+	case verdict.SlowSender:
+		return http.StatusRequestTimeout
 	case verdict.KeyReused:
 		return http.StatusUnprocessableEntity
 	case verdict.KeyInFlight, verdict.KeyAnswerNotKept:
--- a/node/keys.go
+++ b/node/keys.go
@@ -68,6 +68,7 @@
 		Tables: n.tables,
 		Clock:  n.options.Clock,
 		Config: idempotency.DefaultConfig(),
+		Idle:   n.options.Settings.Traffic.BodyIdle(),
 		Next:   next,
 		Count:  n.options.Metrics.Count,
 	}
--- a/test/bubble/operate.go
+++ b/test/bubble/operate.go
@@ -34,8 +34,10 @@
 	HostName string
 	Path     string
 	Body     string
-	// Stream is the body in place of Body, of unknown length.
+	// Stream is the body in place of Body; its length is unknown unless Length
+	// announces one.
 	Stream io.Reader
+	Length int64
 	// Run names the request in the backend servers' counts.
 	Run string
 	// Key is the idempotency key; empty for none.
@@ -56,6 +58,9 @@
 	}
 	request, err := http.NewRequestWithContext(ctx, r.Method, address, r.Stream)
 	must.NoError(f.t, err)
+	if r.Length > 0 {
+		request.ContentLength = r.Length
+	}
 	request.Host = r.HostName
 	request.Header.Set(HeaderRun, r.Run)
 	if r.Key != "" {
