--- a/controllers/report/report.go
+++ b/controllers/report/report.go
@@ -7,7 +7,6 @@
 
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/controller"
-	"github.com/marigoldshelf/marigoldshelf/decide/admit"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 )
@@ -58,20 +57,11 @@
 }
 
 func reportTraffic(t *tables.Tables, g Gauges) {
-	busy, queued := 0, 0
 	t.Board.Do(func(tx *blackboard.Tx) {
 		g.Set("calls", float64(t.Calls.Len(tx)))
 		g.Set("slots", float64(t.Limits.Get(tx).Slots))
-		t.Admissions.Each(tx, func(_ string, r admit.Request) bool {
-			switch r.State {
-			case admit.Granted:
-				busy++
-			case admit.Waiting:
-				queued++
-			}
-			return true
-		})
-	}, t.Calls.Read(), t.Limits.Read(), t.Admissions.Read())
-	g.Set("slots_busy", float64(busy))
-	g.Set("requests_queued", float64(queued))
+		load := t.Occupancy.Get(tx)
+		g.Set("slots_busy", float64(load.Busy))
+		g.Set("requests_queued", float64(load.Queued))
+	}, t.Calls.Read(), t.Limits.Read(), t.Occupancy.Read())
 }
--- a/encoding/hop/hop.go
+++ b/encoding/hop/hop.go
@@ -181,29 +181,6 @@
 	}
 }
 
-// WriteRefusal puts what a caller is told about a refusal into h.
-func WriteRefusal(h http.Header, e *verdict.Error, retryAfter time.Duration, exhausted bool) {
-	h.Set(HeaderVerdict, e.Verdict.String())
-	h.Set(HeaderReason, string(e.Reason))
-	if exhausted {
-		h.Set(headerExhausted, "1")
-	}
-	if retryAfter > 0 {
-		seconds := (retryAfter + time.Second - 1) / time.Second
-		h.Set("Retry-After", strconv.Itoa(int(seconds)))
-		h.Set(headerRetryAfter, formatMillis(retryAfter))
-	}
-}
-
-// Strip removes the nodes' own headers from h.
-func Strip(h http.Header) {
-	for name := range h {
-		if strings.HasPrefix(name, prefix) {
-			delete(h, name)
-		}
-	}
-}
-
 // formatMillis rounds up, so that no time left never reads as none.
 func formatMillis(d time.Duration) string {
 	millis := (d + time.Millisecond - 1) / time.Millisecond
--- /dev/null
+++ b/encoding/hop/refusal.go
@@ -0,0 +1,73 @@
+package hop
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/marigoldshelf/marigoldshelf/verdict"
+)
+
+// Refusal is what a caller is told about a request that failed.
+type Refusal struct {
+	Error *verdict.Error
+	// RetryAfter is when to come back, from now; zero for not said.
+	RetryAfter time.Duration
+	// Exhausted tells that nobody upstream should retry.
+	Exhausted bool
+}
+
+// refusalBody is the body of a refusal.
+type refusalBody struct {
+	Verdict string `json:"verdict"`
+	Reason  string `json:"reason"`
+}
+
+// Send answers a caller.
+func (r Refusal) Send(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "application/json")
+	r.writeHeaders(w.Header())
+	w.WriteHeader(refusalStatus(r.Error))
+	body := refusalBody{Verdict: r.Error.Verdict.String(), Reason: string(r.Error.Reason)}
+	// A failed write means that the caller is gone.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (r Refusal) writeHeaders(h http.Header) {
+	h.Set(HeaderVerdict, r.Error.Verdict.String())
+	h.Set(HeaderReason, string(r.Error.Reason))
+	if r.Exhausted {
+		h.Set(headerExhausted, "1")
+	}
+	if r.RetryAfter > 0 {
+		seconds := (r.RetryAfter + time.Second - 1) / time.Second
+		h.Set("Retry-After", strconv.Itoa(int(seconds)))
+		h.Set(headerRetryAfter, formatMillis(r.RetryAfter))
+	}
+}
+
+// refusalStatus returns the HTTP status for a refusal.
+func refusalStatus(e *verdict.Error) int {
+	switch e.Reason {
+	case verdict.NoRoute:
+		return http.StatusNotFound
+	case verdict.BadRequest:
+		return http.StatusBadRequest
+	case verdict.SlowSender:
+		return http.StatusRequestTimeout
+	case verdict.KeyReused:
+		return http.StatusUnprocessableEntity
+	case verdict.KeyInFlight, verdict.KeyAnswerNotKept:
+		return http.StatusConflict
+	case verdict.KeyUnknown, verdict.KeyHomeUnreached:
+		// This attempt did not run, whatever an earlier one did.
+		return http.StatusServiceUnavailable
+	case verdict.DeadlineExceeded, verdict.DeadlineTooShort:
+		return http.StatusGatewayTimeout
+	}
+	if e.Verdict == verdict.MayHaveRun {
+		return http.StatusBadGateway
+	}
+	return http.StatusServiceUnavailable
+}
--- a/front/keyed/keyed.go
+++ b/front/keyed/keyed.go
@@ -7,10 +7,8 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/google/uuid"
@@ -174,36 +172,11 @@
 	_, _ = w.Write(a.Body)
 }
 
-// refusalBody is the answer to a request that was refused.
-type refusalBody struct {
-	Verdict string `json:"verdict"`
-	Reason  string `json:"reason"`
-}
-
 func (h *Handler) refuse(w http.ResponseWriter, e *verdict.Error) {
 	h.Count("refused", e.Reason)
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set(hop.HeaderVerdict, e.Verdict.String())
-	w.Header().Set(hop.HeaderReason, string(e.Reason))
-	status := statusOf(e.Reason)
-	if status != http.StatusUnprocessableEntity && status != http.StatusBadRequest {
-		w.Header().Set("Retry-After", strconv.Itoa(int(retryAfter.Seconds())))
-	}
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(refusalBody{Verdict: e.Verdict.String(), Reason: string(e.Reason)})
-}
-
-func statusOf(reason verdict.Reason) int {
-	switch reason {
-	case verdict.BadRequest:
-		return http.StatusBadRequest
-	case verdict.SlowSender:
-		return http.StatusRequestTimeout
-	case verdict.KeyReused:
-		return http.StatusUnprocessableEntity
-	case verdict.KeyInFlight, verdict.KeyAnswerNotKept:
-		return http.StatusConflict
-	default:
-		return http.StatusServiceUnavailable
+	r := hop.Refusal{Error: e, RetryAfter: retryAfter}
+	if e.Reason == verdict.KeyReused || e.Reason == verdict.BadRequest {
+		r.RetryAfter = 0 // the same request will never do
 	}
+	r.Send(w)
 }
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -3,8 +3,6 @@
 // the caller is told, so it goes with every error on the request path.
 package verdict
 
-import "github.com/rotisserie/eris"
-
 // Verdict is what is known about the execution of one request.
 type Verdict uint8
 
@@ -61,7 +59,6 @@
 	ConnectFailed     Reason = "connect_failed"     // no connection to the next hop
 	TransportFailed   Reason = "transport_failed"   // the connection broke under way
 	BackendShed       Reason = "backend_shed"       // the backend server itself refused
-	VersionBehind     Reason = "version_behind"     // routed under a version this node lacks
 	BadRequest        Reason = "bad_request"        // malformed or oversized
 	CallerGone        Reason = "caller_gone"        // the caller cancelled
 	KeyReused         Reason = "key_reused"         // same key, another request
@@ -69,7 +66,6 @@
 	KeyInFlight       Reason = "key_in_flight"      // the first run under the key has not ended
 	KeyHomeUnreached  Reason = "key_home_unreached" // the keeper of the key cannot be reached
 	RetryBudget       Reason = "retry_budget"       // the service's retry budget is used up
-	PlatformDown      Reason = "platform_down"      // the platform's log does not answer
 	WrongHost         Reason = "wrong_host"         // the receiver does not hold that backend server
 	FloorUnknown      Reason = "floor_unknown"      // the lowest version allowed is not known yet
 	SlowSender        Reason = "slow_sender"        // the caller's bytes stopped coming
@@ -105,12 +101,3 @@
 
 // Unwrap returns the cause, which may be nil.
 func (e *Error) Unwrap() error { return e.cause }
-
-// Of returns the verdict carried by err, or MayHaveRun where it carries none.
-func Of(err error) Verdict {
-	var e *Error
-	if eris.As(err, &e) {
-		return e.Verdict
-	}
-	return MayHaveRun
-}
