--- a/cmd/marigoldd/main.go
+++ b/cmd/marigoldd/main.go
@@ -15,10 +15,10 @@
 
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/clock"
+	"github.com/marigoldshelf/marigoldshelf/eventlog/httplog"
 	"github.com/marigoldshelf/marigoldshelf/logs"
 	"github.com/marigoldshelf/marigoldshelf/metrics"
 	"github.com/marigoldshelf/marigoldshelf/node"
-	"github.com/marigoldshelf/marigoldshelf/platform/httplog"
 	"github.com/marigoldshelf/marigoldshelf/settings"
 )
 
--- a/cmd/platform-standin/main.go
+++ b/cmd/platform-standin/main.go
@@ -13,8 +13,8 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/marigoldshelf/marigoldshelf/clock"
-	"github.com/marigoldshelf/marigoldshelf/platform/httplog"
-	"github.com/marigoldshelf/marigoldshelf/platform/standin"
+	"github.com/marigoldshelf/marigoldshelf/eventlog/httplog"
+	"github.com/marigoldshelf/marigoldshelf/eventlog/standin"
 )
 
 type arguments struct {
--- a/controllers/changes/changes.go
+++ b/controllers/changes/changes.go
@@ -7,7 +7,7 @@
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/decide/change"
 	"github.com/marigoldshelf/marigoldshelf/encoding/record"
-	"github.com/marigoldshelf/marigoldshelf/platform"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 )
 
@@ -28,7 +28,7 @@
 
 // Fold applies records to the state. A record that cannot be read is refused
 // as a whole by every node alike: it only moves the offset.
-func (c Consumer) Fold(tx *blackboard.Tx, _ time.Time, records []platform.Record) {
+func (c Consumer) Fold(tx *blackboard.Tx, _ time.Time, records []eventlog.Record) {
 	if len(records) == 0 {
 		return
 	}
--- a/controllers/follow/follow.go
+++ b/controllers/follow/follow.go
@@ -9,8 +9,8 @@
 	"github.com/marigoldshelf/marigoldshelf/controllers/logread"
 	"github.com/marigoldshelf/marigoldshelf/decide/snapshot"
 	"github.com/marigoldshelf/marigoldshelf/decide/spread"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
-	"github.com/marigoldshelf/marigoldshelf/platform"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 )
 
@@ -36,11 +36,11 @@
 // Register adds the controllers that keep the feed going.
 func Register(p *controller.Pool, t *tables.Tables, c Config) {
 	log := Log{Tables: t, Changes: c.Changes, Count: c.Count}
-	config := logread.Register(p, t, platform.Config, log)
-	snapshots := logread.Register(p, t, platform.Snapshots, Snapshots{Tables: t, Writers: c.Writers})
+	config := logread.Register(p, t, eventlog.Config, log)
+	snapshots := logread.Register(p, t, eventlog.Snapshots, Snapshots{Tables: t, Writers: c.Writers})
 	again := func() {
-		config.Add(platform.Config)
-		snapshots.Add(platform.Snapshots)
+		config.Add(eventlog.Config)
+		snapshots.Add(eventlog.Snapshots)
 	}
 	t.Role.Watch(again)
 	t.Feed.Watch(again)
--- a/controllers/follow/log.go
+++ b/controllers/follow/log.go
@@ -9,7 +9,7 @@
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/controllers/logread"
 	"github.com/marigoldshelf/marigoldshelf/decide/spread"
-	"github.com/marigoldshelf/marigoldshelf/platform"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 )
 
@@ -47,7 +47,7 @@
 func (l Log) Next(tx *blackboard.Tx) uint64 { return l.Tables.Feed.Get(tx).Offset + 1 }
 
 // Fold folds the records that continue the feed.
-func (l Log) Fold(tx *blackboard.Tx, now time.Time, records []platform.Record) {
+func (l Log) Fold(tx *blackboard.Tx, now time.Time, records []eventlog.Record) {
 	feed := l.Tables.Feed.Get(tx)
 	fresh, gap := feed.Accept(fromLog(records))
 	if gap {
@@ -77,7 +77,7 @@
 // answer was empty.
 func (l Log) Observe(tx *blackboard.Tx, now time.Time, batch tables.LogBatch) {
 	feed := l.Tables.Feed.Get(tx)
-	_, expired := platform.Oldest(batch.Err)
+	_, expired := eventlog.Oldest(batch.Err)
 	failing := batch.Err != nil && !expired
 	if failing {
 		l.Count(logUnanswered)
@@ -97,15 +97,15 @@
 	if len(fresh) == 0 {
 		return
 	}
-	records := make([]platform.Record, len(fresh))
+	records := make([]eventlog.Record, len(fresh))
 	for i, r := range fresh {
-		records[i] = platform.Record{Offset: r.Offset, Data: r.Data}
+		records[i] = eventlog.Record{Offset: r.Offset, Data: r.Data}
 	}
 	c.Fold(tx, now, records)
 	t.Feed.Set(tx, t.Feed.Get(tx).Append(fresh))
 }
 
-func fromLog(records []platform.Record) []spread.Record {
+func fromLog(records []eventlog.Record) []spread.Record {
 	list := make([]spread.Record, len(records))
 	for i, r := range records {
 		list[i] = spread.Record{Offset: r.Offset, Data: r.Data}
--- a/controllers/follow/snapshots.go
+++ b/controllers/follow/snapshots.go
@@ -7,7 +7,7 @@
 	"github.com/marigoldshelf/marigoldshelf/controller"
 	"github.com/marigoldshelf/marigoldshelf/decide/snapshot"
 	encoding "github.com/marigoldshelf/marigoldshelf/encoding/snapshot"
-	"github.com/marigoldshelf/marigoldshelf/platform"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 )
 
@@ -27,18 +27,18 @@
 
 // Next returns the first offset not folded in yet.
 func (s Snapshots) Next(tx *blackboard.Tx) uint64 {
-	last, _ := s.Tables.Positions.Get(tx, platform.Snapshots)
+	last, _ := s.Tables.Positions.Get(tx, eventlog.Snapshots)
 	return last + 1
 }
 
 // Fold collects the chunks; what is no chunk is passed over.
-func (s Snapshots) Fold(tx *blackboard.Tx, now time.Time, records []platform.Record) {
+func (s Snapshots) Fold(tx *blackboard.Tx, now time.Time, records []eventlog.Record) {
 	if len(records) == 0 {
 		return
 	}
 	shelf := s.Tables.Shelf.Get(tx)
 	for _, r := range records {
-		s.Tables.Positions.Put(tx, platform.Snapshots, r.Offset)
+		s.Tables.Positions.Put(tx, eventlog.Snapshots, r.Offset)
 		chunk, err := encoding.DecodeChunk(r.Data)
 		if err != nil {
 			continue
@@ -58,7 +58,7 @@
 
 // Skip moves past chunks that are no longer retained.
 func (s Snapshots) Skip(tx *blackboard.Tx, offset uint64) {
-	s.Tables.Positions.Put(tx, platform.Snapshots, offset)
+	s.Tables.Positions.Put(tx, eventlog.Snapshots, offset)
 }
 
 // Wanted reports whether this node reads snapshots.
--- a/controllers/follow/tip.go
+++ b/controllers/follow/tip.go
@@ -6,7 +6,7 @@
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/controller"
 	"github.com/marigoldshelf/marigoldshelf/decide/spread"
-	"github.com/marigoldshelf/marigoldshelf/platform"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 )
 
@@ -17,12 +17,12 @@
 // for its own floor, and for the started nodes that ask it. One question at a
 // time serves all who wait.
 func registerTip(p *controller.Pool, t *tables.Tables, c Config) {
-	handle := controller.Register(p, "tip", func(now time.Time, s platform.Stream) (result controller.Result) {
+	handle := controller.Register(p, "tip", func(now time.Time, s eventlog.Stream) (result controller.Result) {
 		t.Board.Do(func(tx *blackboard.Tx) { result = askTip(tx, t, c, now, s) },
 			t.Role.Read(), t.Feed.Write(), t.Floor.Read(), t.Pulls.Read(), t.BoundsAsks.Write(), t.BoundsResults.Write())
 		return result
 	})
-	wake := func() { handle.Add(platform.Config) }
+	wake := func() { handle.Add(eventlog.Config) }
 	t.BoundsResults.Watch(handle.Add)
 	t.Role.Watch(wake)
 	t.Pulls.Watch(func(string) { wake() })
@@ -32,7 +32,7 @@
 // askTip takes the answer that came, if any, and asks again where that is
 // wanted. A failed answer stays in the inbox until its pause is over: deleting
 // it would wake the controller at once.
-func askTip(tx *blackboard.Tx, t *tables.Tables, c Config, now time.Time, s platform.Stream) controller.Result {
+func askTip(tx *blackboard.Tx, t *tables.Tables, c Config, now time.Time, s eventlog.Stream) controller.Result {
 	if _, underWay := t.BoundsAsks.Get(tx, s); underWay {
 		return controller.Result{}
 	}
--- a/controllers/journal/journal.go
+++ b/controllers/journal/journal.go
@@ -11,8 +11,8 @@
 
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/controller"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
-	"github.com/marigoldshelf/marigoldshelf/platform"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 )
 
@@ -31,7 +31,7 @@
 	members := controller.Register(p, "journal of members", j.member)
 	t.Routes.Watch(func() { subjects.Add(subjectRoutes) })
 	t.Drain.Watch(func() { subjects.Add(subjectDrain) })
-	t.LogBatches.Watch(func(platform.Stream) { subjects.Add(subjectPlatform) })
+	t.LogBatches.Watch(func(eventlog.Stream) { subjects.Add(subjectPlatform) })
 	t.Members.Watch(members.Add)
 }
 
@@ -79,10 +79,10 @@
 // platform reads the outcome of the last read of any stream. A stream whose
 // batch was taken already says nothing.
 func (j journal) platform(tx *blackboard.Tx) (line tables.Line, any bool) {
-	j.tables.LogBatches.Each(tx, func(_ platform.Stream, b tables.LogBatch) bool {
+	j.tables.LogBatches.Each(tx, func(_ eventlog.Stream, b tables.LogBatch) bool {
 		any = true
 		line = tables.Line{Part: "platform", Sentence: "the log answers"}
-		if b.Err != nil && !eris.Is(b.Err, platform.ErrExpired) {
+		if b.Err != nil && !eris.Is(b.Err, eventlog.ErrExpired) {
 			line = tables.Line{Part: "platform", Warning: true, Sentence: "the log does not answer"}
 			return false
 		}
--- a/controllers/journal/journal_test.go
+++ b/controllers/journal/journal_test.go
@@ -10,9 +10,9 @@
 	"github.com/marigoldshelf/marigoldshelf/clock"
 	"github.com/marigoldshelf/marigoldshelf/controller"
 	"github.com/marigoldshelf/marigoldshelf/controllers/journal"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/outbox"
-	"github.com/marigoldshelf/marigoldshelf/platform"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 )
 
@@ -26,7 +26,7 @@
 	})
 	batch := func(err error) {
 		b.Board.Do(func(tx *blackboard.Tx) {
-			b.LogBatches.Put(tx, platform.Config, tables.LogBatch{Err: err})
+			b.LogBatches.Put(tx, eventlog.Config, tables.LogBatch{Err: err})
 		}, b.LogBatches.Write())
 		pool.Settle(100)
 	}
@@ -38,8 +38,8 @@
 	}
 	batch(nil)
 	batch(nil)
-	batch(platform.ErrUnavailable)
-	batch(platform.ErrUnavailable)
+	batch(eventlog.ErrUnavailable)
+	batch(eventlog.ErrUnavailable)
 	batch(nil)
 	member(mesh.Alive)
 	member(mesh.Alive)
--- a/controllers/keymap/keymap.go
+++ b/controllers/keymap/keymap.go
@@ -10,7 +10,7 @@
 	"github.com/marigoldshelf/marigoldshelf/clock"
 	"github.com/marigoldshelf/marigoldshelf/decide/idempotency"
 	"github.com/marigoldshelf/marigoldshelf/encoding/record"
-	"github.com/marigoldshelf/marigoldshelf/platform"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 )
 
@@ -39,7 +39,7 @@
 
 // Fold folds the records in. A read that brought none proves that there was
 // none when it was asked for.
-func (c Consumer) Fold(tx *blackboard.Tx, now time.Time, records []platform.Record) {
+func (c Consumer) Fold(tx *blackboard.Tx, now time.Time, records []eventlog.Record) {
 	row := c.Tables.KeyMap.Get(tx)
 	if len(records) == 0 {
 		row.Confirmed = row.AskedAt
--- a/controllers/keyplan/keyplan.go
+++ b/controllers/keyplan/keyplan.go
@@ -9,8 +9,8 @@
 	"github.com/marigoldshelf/marigoldshelf/controller"
 	"github.com/marigoldshelf/marigoldshelf/decide/idempotency"
 	"github.com/marigoldshelf/marigoldshelf/encoding/record"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
-	"github.com/marigoldshelf/marigoldshelf/platform"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 )
 
@@ -98,7 +98,7 @@
 	for _, change := range changes {
 		r.config.Count(change.Kind)
 	}
-	r.tables.Appends.Put(tx, appendID, tables.Append{Stream: platform.Keys, Data: string(data)})
+	r.tables.Appends.Put(tx, appendID, tables.Append{Stream: eventlog.Keys, Data: string(data)})
 	return true
 }
 
--- a/controllers/logread/logread.go
+++ b/controllers/logread/logread.go
@@ -8,7 +8,7 @@
 
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/controller"
-	"github.com/marigoldshelf/marigoldshelf/platform"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 )
 
@@ -29,7 +29,7 @@
 	// Next returns the first offset that was not folded in yet.
 	Next(tx *blackboard.Tx) uint64
 	// Fold folds records in, in their order. Records it has seen are ignored.
-	Fold(tx *blackboard.Tx, now time.Time, records []platform.Record)
+	Fold(tx *blackboard.Tx, now time.Time, records []eventlog.Record)
 	// Skip is told that records up to and with offset are no longer retained.
 	Skip(tx *blackboard.Tx, offset uint64)
 }
@@ -47,10 +47,10 @@
 
 // Register adds the controller for one stream. The handle makes it look again
 // whether reading is wanted.
-func Register(p *controller.Pool, t *tables.Tables, s platform.Stream, c Consumer) controller.Handle[platform.Stream] {
+func Register(p *controller.Pool, t *tables.Tables, s eventlog.Stream, c Consumer) controller.Handle[eventlog.Stream] {
 	r := reader{tables: t, consumer: c}
 	handle := controller.Register(p, "logread", r.reconcile)
-	t.LogBatches.Watch(func(changed platform.Stream) {
+	t.LogBatches.Watch(func(changed eventlog.Stream) {
 		if changed == s {
 			handle.Add(s)
 		}
@@ -64,7 +64,7 @@
 	consumer Consumer
 }
 
-func (r reader) reconcile(now time.Time, s platform.Stream) (result controller.Result) {
+func (r reader) reconcile(now time.Time, s eventlog.Stream) (result controller.Result) {
 	access := append(r.consumer.Access(), r.tables.LogReads.Write(), r.tables.LogBatches.Write())
 	r.tables.Board.Do(func(tx *blackboard.Tx) {
 		result = r.step(tx, now, s)
@@ -75,7 +75,7 @@
 // step takes the batch that came, if any, and asks for the next one. A failed
 // read stays in the inbox until its pause is over: the timer's call finds it
 // and asks again.
-func (r reader) step(tx *blackboard.Tx, now time.Time, s platform.Stream) controller.Result {
+func (r reader) step(tx *blackboard.Tx, now time.Time, s eventlog.Stream) controller.Result {
 	t := r.tables
 	if _, asked := t.LogReads.Get(tx, s); asked {
 		return controller.Result{}
@@ -112,7 +112,7 @@
 // the readers that failed together; one that learned the oldest offset needs
 // no pause worth the name.
 func retryPause(now time.Time, batch tables.LogBatch) time.Duration {
-	if _, told := platform.Oldest(batch.Err); told {
+	if _, told := eventlog.Oldest(batch.Err); told {
 		return time.Millisecond
 	}
 	pause := min(retryBase<<min(batch.Failures, 8), retryLimit)
@@ -127,7 +127,7 @@
 
 // skip tells the consumer which records are lost.
 func (r reader) skip(tx *blackboard.Tx, batch tables.LogBatch) {
-	if oldest, told := platform.Oldest(batch.Err); told && oldest > batch.From {
+	if oldest, told := eventlog.Oldest(batch.Err); told && oldest > batch.From {
 		r.consumer.Skip(tx, oldest-1)
 	}
 }
--- a/controllers/logread/logread_test.go
+++ b/controllers/logread/logread_test.go
@@ -12,9 +12,9 @@
 	"github.com/marigoldshelf/marigoldshelf/clock"
 	"github.com/marigoldshelf/marigoldshelf/controller"
 	"github.com/marigoldshelf/marigoldshelf/controllers/logread"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
+	"github.com/marigoldshelf/marigoldshelf/eventlog/standin"
 	"github.com/marigoldshelf/marigoldshelf/outbox"
-	"github.com/marigoldshelf/marigoldshelf/platform"
-	"github.com/marigoldshelf/marigoldshelf/platform/standin"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 )
 
@@ -26,18 +26,18 @@
 }
 
 func (f follower) Next(tx *blackboard.Tx) uint64 {
-	last, _ := f.tables.Positions.Get(tx, platform.Members)
+	last, _ := f.tables.Positions.Get(tx, eventlog.Members)
 	return last + 1
 }
 
-func (f follower) Fold(tx *blackboard.Tx, _ time.Time, records []platform.Record) {
+func (f follower) Fold(tx *blackboard.Tx, _ time.Time, records []eventlog.Record) {
 	for _, r := range records {
-		f.tables.Positions.Put(tx, platform.Members, r.Offset)
+		f.tables.Positions.Put(tx, eventlog.Members, r.Offset)
 	}
 }
 
 func (f follower) Skip(tx *blackboard.Tx, offset uint64) {
-	f.tables.Positions.Put(tx, platform.Members, offset)
+	f.tables.Positions.Put(tx, eventlog.Members, offset)
 }
 
 // A reader that starts behind the oldest retained record goes on with that
@@ -46,15 +46,15 @@
 	virtual := clock.NewVirtual(time.Unix(0, 0))
 	log := standin.New(virtual, standin.Options{Records: 3})
 	for i := range 100 {
-		_, err := log.Append(t.Context(), platform.Members, []byte(strconv.Itoa(i)))
+		_, err := log.Append(t.Context(), eventlog.Members, []byte(strconv.Itoa(i)))
 		must.NoError(t, err)
 	}
 	tab := tables.New(blackboard.New(blackboard.CheckOrder()))
 	pool, io := controller.New(virtual, 1), controller.New(virtual, 1)
-	logread.Register(pool, tab, platform.Members, follower{tab})
+	logread.Register(pool, tab, eventlog.Members, follower{tab})
 	var read []uint64
 	outbox.Serve(t.Context(), io, tab.Board, "read log", tab.LogReads, tab.LogBatches,
-		func(ctx context.Context, s platform.Stream, r tables.LogRead) tables.LogBatch {
+		func(ctx context.Context, s eventlog.Stream, r tables.LogRead) tables.LogBatch {
 			records, err := log.Read(ctx, s, r.From, 0)
 			for _, r := range records {
 				read = append(read, r.Offset)
--- a/controllers/membership/announce.go
+++ b/controllers/membership/announce.go
@@ -9,8 +9,8 @@
 	"github.com/marigoldshelf/marigoldshelf/controller"
 	"github.com/marigoldshelf/marigoldshelf/decide/membership"
 	"github.com/marigoldshelf/marigoldshelf/encoding/record"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
-	"github.com/marigoldshelf/marigoldshelf/platform"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 )
 
@@ -43,8 +43,8 @@
 func (f fleet) registerAnnounce(p *controller.Pool) {
 	read := controller.Register(p, "find members", f.step(f.find,
 		f.LogReads.Write(), f.LogBatches.Write(), f.Positions.Write()))
-	f.LogBatches.Watch(func(s platform.Stream) {
-		if s == platform.Members {
+	f.LogBatches.Watch(func(s eventlog.Stream) {
+		if s == eventlog.Members {
 			read.Add(theKey)
 		}
 	})
@@ -61,12 +61,12 @@
 
 // find reads the stream. An empty batch is its end.
 func (f fleet) find(tx *blackboard.Tx, now time.Time) controller.Result {
-	if _, asked := f.LogReads.Get(tx, platform.Members); asked {
+	if _, asked := f.LogReads.Get(tx, eventlog.Members); asked {
 		return controller.Result{}
 	}
 	meeting := f.Meeting.Get(tx)
-	if batch, came := f.LogBatches.Get(tx, platform.Members); came {
-		f.LogBatches.Delete(tx, platform.Members)
+	if batch, came := f.LogBatches.Get(tx, eventlog.Members); came {
+		f.LogBatches.Delete(tx, eventlog.Members)
 		meeting.LookAt = now.Add(f.takeBatch(tx, batch))
 		f.Meeting.Set(tx, meeting)
 	}
@@ -77,29 +77,29 @@
 	if joined && !f.isRelay(tx) {
 		return controller.Result{After: f.around(lookInterval)}
 	}
-	last, read := f.Positions.Get(tx, platform.Members)
+	last, read := f.Positions.Get(tx, eventlog.Members)
 	wait := readWait
 	if !read || joined {
 		wait = 0
 	}
-	f.LogReads.Put(tx, platform.Members, tables.LogRead{From: last + 1, Wait: wait})
+	f.LogReads.Put(tx, eventlog.Members, tables.LogRead{From: last + 1, Wait: wait})
 	return controller.Result{}
 }
 
 // takeBatch notes what a read brought, and returns the pause until the next.
 func (f fleet) takeBatch(tx *blackboard.Tx, batch tables.LogBatch) time.Duration {
 	switch {
-	case eris.Is(batch.Err, platform.ErrExpired):
-		oldest, told := platform.Oldest(batch.Err)
+	case eris.Is(batch.Err, eventlog.ErrExpired):
+		oldest, told := eventlog.Oldest(batch.Err)
 		if !told || oldest <= batch.From {
 			return f.around(retryDelay)
 		}
-		f.Positions.Put(tx, platform.Members, oldest-1)
+		f.Positions.Put(tx, eventlog.Members, oldest-1)
 		return 0
 	case batch.Err != nil:
 		return f.around(retryDelay)
 	}
-	f.Positions.Put(tx, platform.Members, batch.From-1)
+	f.Positions.Put(tx, eventlog.Members, batch.From-1)
 	for _, r := range batch.Records {
 		f.takeRecord(tx, r)
 	}
@@ -119,8 +119,8 @@
 
 // takeRecord notes the contact that a record names, and greets it if it is no
 // member yet.
-func (f fleet) takeRecord(tx *blackboard.Tx, r platform.Record) {
-	f.Positions.Put(tx, platform.Members, r.Offset)
+func (f fleet) takeRecord(tx *blackboard.Tx, r eventlog.Record) {
+	f.Positions.Put(tx, eventlog.Members, r.Offset)
 	m, err := record.DecodeMember(r.Data)
 	if err != nil || m.ProbeAddress == "" {
 		return
@@ -144,7 +144,7 @@
 // dropOldContacts keeps the newest contacts; seeds stay.
 func (f fleet) dropOldContacts(tx *blackboard.Tx) {
 	excess := f.Contacts.Len(tx) - maxContacts
-	newest, _ := f.Positions.Get(tx, platform.Members)
+	newest, _ := f.Positions.Get(tx, eventlog.Members)
 	if excess <= 0 {
 		return
 	}
@@ -190,7 +190,7 @@
 	if err != nil || !f.shouldAnnounce(tx, now) {
 		return controller.Result{After: f.around(joinPatience)}
 	}
-	f.Appends.Put(tx, announceID, tables.Append{Stream: platform.Members, Data: string(data)})
+	f.Appends.Put(tx, announceID, tables.Append{Stream: eventlog.Members, Data: string(data)})
 	return controller.Result{}
 }
 
--- a/controllers/membership/network_test.go
+++ b/controllers/membership/network_test.go
@@ -14,8 +14,8 @@
 	controllers "github.com/marigoldshelf/marigoldshelf/controllers/membership"
 	"github.com/marigoldshelf/marigoldshelf/decide/membership"
 	"github.com/marigoldshelf/marigoldshelf/encoding/probe"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
-	"github.com/marigoldshelf/marigoldshelf/platform"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 )
 
@@ -40,7 +40,7 @@
 	loss    float64
 	cut     func(from, to *host) bool
 	drop    func(to *host, m membership.Message) bool
-	records []platform.Record
+	records []eventlog.Record
 	logDown bool
 	appends []time.Time
 	reads   int
@@ -104,7 +104,7 @@
 	h.started, h.down, h.paused = n.clock.Now(), false, false
 	h.asked, h.sending = time.Time{}, false
 	h.tables.MessagesOut.Watch(func(uint64) { h.sending = true })
-	h.tables.LogReads.Watch(func(platform.Stream) { h.asking = true })
+	h.tables.LogReads.Watch(func(eventlog.Stream) { h.asking = true })
 	h.tables.Appends.Watch(func(string) { h.asking = true })
 	h.events = make(map[controllers.Event]int)
 	controllers.Register(h.pool, h.tables, controllers.Config{
@@ -213,17 +213,17 @@
 	h.asking = false
 	waits := false
 	b.Board.Do(func(tx *blackboard.Tx) {
-		if read, found := b.LogReads.Get(tx, platform.Members); found {
+		if read, found := b.LogReads.Get(tx, eventlog.Members); found {
 			waits = !n.read(tx, h, read)
 		}
 		b.Appends.Each(tx, func(id string, a tables.Append) bool {
 			b.Appends.Delete(tx, id)
 			if n.logDown {
-				b.AppendsDone.Put(tx, id, tables.AppendDone{Err: platform.ErrUnavailable})
+				b.AppendsDone.Put(tx, id, tables.AppendDone{Err: eventlog.ErrUnavailable})
 				return true
 			}
 			offset := uint64(len(n.records) + 1)
-			n.records = append(n.records, platform.Record{Offset: offset, Data: []byte(a.Data)})
+			n.records = append(n.records, eventlog.Record{Offset: offset, Data: []byte(a.Data)})
 			n.appends = append(n.appends, n.clock.Now())
 			b.AppendsDone.Put(tx, id, tables.AppendDone{Offset: offset})
 			return true
@@ -240,7 +240,7 @@
 	}
 	switch {
 	case n.logDown:
-		batch.Err = platform.ErrUnavailable
+		batch.Err = eventlog.ErrUnavailable
 	case read.From <= uint64(len(n.records)):
 		batch.Records = n.records[read.From-1:]
 	case n.clock.Now().Sub(h.asked) < read.Wait:
@@ -248,8 +248,8 @@
 	}
 	n.reads++
 	h.asked = time.Time{}
-	h.tables.LogReads.Delete(tx, platform.Members)
-	h.tables.LogBatches.Put(tx, platform.Members, batch)
+	h.tables.LogReads.Delete(tx, eventlog.Members)
+	h.tables.LogBatches.Put(tx, eventlog.Members, batch)
 	return true
 }
 
--- a/controllers/snapwrite/snapwrite.go
+++ b/controllers/snapwrite/snapwrite.go
@@ -13,7 +13,7 @@
 	"github.com/marigoldshelf/marigoldshelf/decide/snapshot"
 	"github.com/marigoldshelf/marigoldshelf/decide/spread"
 	encoding "github.com/marigoldshelf/marigoldshelf/encoding/snapshot"
-	"github.com/marigoldshelf/marigoldshelf/platform"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 )
 
@@ -152,6 +152,6 @@
 		t.SnapshotDuty.Set(tx, tables.SnapshotDuty{RetryAt: now.Add(holdOff)})
 		return controller.Result{After: holdOff}
 	}
-	t.Appends.Put(tx, appendID, tables.Append{Stream: platform.Snapshots, Data: string(data)})
+	t.Appends.Put(tx, appendID, tables.Append{Stream: eventlog.Snapshots, Data: string(data)})
 	return controller.Result{}
 }
--- a/controllers/submit/submit.go
+++ b/controllers/submit/submit.go
@@ -13,7 +13,7 @@
 	"github.com/marigoldshelf/marigoldshelf/controller"
 	"github.com/marigoldshelf/marigoldshelf/decide/submit"
 	"github.com/marigoldshelf/marigoldshelf/encoding/record"
-	"github.com/marigoldshelf/marigoldshelf/platform"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 	"github.com/marigoldshelf/marigoldshelf/verdict"
 )
@@ -103,7 +103,7 @@
 		return submit.Attempt{}, false
 	}
 	t.AppendsDone.Delete(tx, outboxPrefix+id)
-	attempt := submit.Attempt{Confirmed: done.Err == nil, MayBeInLog: platform.IsUnknown(done.Err)}
+	attempt := submit.Attempt{Confirmed: done.Err == nil, MayBeInLog: eventlog.IsUnknown(done.Err)}
 	switch {
 	case attempt.MayBeInLog:
 		count(event, unanswered)
@@ -131,7 +131,7 @@
 		// A record that does not encode was refused before it got here.
 		data, err := record.EncodeChange(s.Record)
 		if err == nil {
-			t.Appends.Put(tx, outboxPrefix+id, tables.Append{Stream: platform.Config, Data: string(data)})
+			t.Appends.Put(tx, outboxPrefix+id, tables.Append{Stream: eventlog.Config, Data: string(data)})
 			s.RetryAt = time.Time{}
 		}
 	}
--- a/platform/platform.go
+++ b/eventlog/eventlog.go
@@ -1,8 +1,8 @@
-// Package platform is the interface to the platform's append-only log service:
+// Package eventlog is the interface to the platform's append-only log service:
 // several streams, each with its own rising offsets. What must be agreed or
 // kept goes through it. Records are kept for a limited time only, the service
 // has outages, and an answer can be lost after the write took effect.
-package platform
+package eventlog
 
 import (
 	"context"
@@ -59,11 +59,11 @@
 
 var (
 	// ErrRefused: the platform refused the append; the record is not in the log.
-	ErrRefused = eris.New("platform: append refused")
+	ErrRefused = eris.New("eventlog: append refused")
 	// ErrUnavailable: no answer; an append may have taken effect.
-	ErrUnavailable = eris.New("platform: no answer")
+	ErrUnavailable = eris.New("eventlog: no answer")
 	// ErrExpired: the offset is older than the oldest retained record.
-	ErrExpired = eris.New("platform: offset no longer retained")
+	ErrExpired = eris.New("eventlog: offset no longer retained")
 )
 
 // IsUnknown reports whether an append that failed with err may be in the log
--- a/platform/httplog/client.go
+++ b/eventlog/httplog/client.go
@@ -12,13 +12,13 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/marigoldshelf/marigoldshelf/platform"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
 )
 
 // maxAnswerBytes bounds an answer of the platform.
 const maxAnswerBytes = 64 << 20
 
-// Client implements platform.Log over HTTP. It is safe for concurrent use.
+// Client implements eventlog.Log over HTTP. It is safe for concurrent use.
 type Client struct {
 	base string
 	http *http.Client
@@ -30,15 +30,15 @@
 	return &Client{base: base, http: c}
 }
 
-// Append implements platform.Log.
-func (c *Client) Append(ctx context.Context, s platform.Stream, data []byte) (uint64, error) {
+// Append implements eventlog.Log.
+func (c *Client) Append(ctx context.Context, s eventlog.Stream, data []byte) (uint64, error) {
 	var answer appendAnswer
 	err := c.do(ctx, http.MethodPost, c.recordsURL(s), bytes.NewReader(data), &answer)
 	return answer.Offset, err
 }
 
-// Read implements platform.Log.
-func (c *Client) Read(ctx context.Context, s platform.Stream, from uint64, wait time.Duration) ([]platform.Record, error) {
+// Read implements eventlog.Log.
+func (c *Client) Read(ctx context.Context, s eventlog.Stream, from uint64, wait time.Duration) ([]eventlog.Record, error) {
 	query := url.Values{
 		"from":    {strconv.FormatUint(from, 10)},
 		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
@@ -50,25 +50,25 @@
 	return fromWire(answer), nil
 }
 
-// Bounds implements platform.Log.
-func (c *Client) Bounds(ctx context.Context, s platform.Stream) (platform.Bounds, error) {
+// Bounds implements eventlog.Log.
+func (c *Client) Bounds(ctx context.Context, s eventlog.Stream) (eventlog.Bounds, error) {
 	var answer boundsAnswer
 	err := c.do(ctx, http.MethodGet, c.base+"/streams/"+url.PathEscape(string(s)), nil, &answer)
-	return platform.Bounds(answer), err
+	return eventlog.Bounds(answer), err
 }
 
-func (c *Client) recordsURL(s platform.Stream) string {
+func (c *Client) recordsURL(s eventlog.Stream) string {
 	return c.base + "/streams/" + url.PathEscape(string(s)) + "/records"
 }
 
 func (c *Client) do(ctx context.Context, method, target string, body io.Reader, answer any) error {
 	request, err := http.NewRequestWithContext(ctx, method, target, body)
 	if err != nil {
-		return eris.Wrap(platform.ErrRefused, err.Error())
+		return eris.Wrap(eventlog.ErrRefused, err.Error())
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return eris.Wrap(platform.ErrUnavailable, err.Error())
+		return eris.Wrap(eventlog.ErrUnavailable, err.Error())
 	}
 	defer response.Body.Close()
 	if err := statusError(response); err != nil {
@@ -76,7 +76,7 @@
 	}
 	decoder := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes))
 	if err := decoder.Decode(answer); err != nil {
-		return eris.Wrap(platform.ErrUnavailable, err.Error())
+		return eris.Wrap(eventlog.ErrUnavailable, err.Error())
 	}
 	return nil
 }
@@ -89,9 +89,9 @@
 	case http.StatusGone:
 		return expiredError(response.Body)
 	case http.StatusTooManyRequests, http.StatusRequestEntityTooLarge, http.StatusBadRequest:
-		return eris.Wrapf(platform.ErrRefused, "status %d", status)
+		return eris.Wrapf(eventlog.ErrRefused, "status %d", status)
 	default:
-		return eris.Wrapf(platform.ErrUnavailable, "status %d", status)
+		return eris.Wrapf(eventlog.ErrUnavailable, "status %d", status)
 	}
 }
 
@@ -100,7 +100,7 @@
 func expiredError(body io.Reader) error {
 	var answer expiredAnswer
 	if err := json.NewDecoder(io.LimitReader(body, maxAnswerBytes)).Decode(&answer); err != nil {
-		return eris.Wrap(platform.ErrUnavailable, err.Error())
+		return eris.Wrap(eventlog.ErrUnavailable, err.Error())
 	}
-	return &platform.ExpiredError{Oldest: answer.Oldest}
+	return &eventlog.ExpiredError{Oldest: answer.Oldest}
 }
--- a/platform/httplog/httplog_test.go
+++ b/eventlog/httplog/httplog_test.go
@@ -8,9 +8,9 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/marigoldshelf/marigoldshelf/clock"
-	"github.com/marigoldshelf/marigoldshelf/platform"
-	"github.com/marigoldshelf/marigoldshelf/platform/httplog"
-	"github.com/marigoldshelf/marigoldshelf/platform/standin"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
+	"github.com/marigoldshelf/marigoldshelf/eventlog/httplog"
+	"github.com/marigoldshelf/marigoldshelf/eventlog/standin"
 )
 
 // The oldest retained offset crosses the wire, so that a reader that is behind
@@ -21,12 +21,12 @@
 	defer server.Close()
 	client := httplog.NewClient(server.URL, server.Client())
 	for range 5 {
-		_, err := client.Append(t.Context(), platform.Config, []byte("x"))
+		_, err := client.Append(t.Context(), eventlog.Config, []byte("x"))
 		must.NoError(t, err)
 	}
-	_, err := client.Read(t.Context(), platform.Config, 1, 0)
-	must.ErrorIs(t, err, platform.ErrExpired)
-	oldest, told := platform.Oldest(err)
+	_, err := client.Read(t.Context(), eventlog.Config, 1, 0)
+	must.ErrorIs(t, err, eventlog.ErrExpired)
+	oldest, told := eventlog.Oldest(err)
 	must.True(t, told)
 	must.Eq(t, 4, oldest)
 }
--- a/platform/httplog/server.go
+++ b/eventlog/httplog/server.go
@@ -9,14 +9,14 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/marigoldshelf/marigoldshelf/platform"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
 )
 
 // maxWait bounds how long a read may be held open.
 const maxWait = time.Minute
 
 // NewHandler serves a log over HTTP.
-func NewHandler(log platform.Log) http.Handler {
+func NewHandler(log eventlog.Log) http.Handler {
 	s := server{log: log}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /streams/{stream}/records", s.append)
@@ -26,7 +26,7 @@
 }
 
 type server struct {
-	log platform.Log
+	log eventlog.Log
 }
 
 func (s server) append(w http.ResponseWriter, r *http.Request) {
@@ -56,8 +56,8 @@
 	answer(w, boundsAnswer(bounds), err)
 }
 
-func streamOf(r *http.Request) platform.Stream {
-	return platform.Stream(r.PathValue("stream"))
+func streamOf(r *http.Request) eventlog.Stream {
+	return eventlog.Stream(r.PathValue("stream"))
 }
 
 // answer writes the body, or the status that says what went wrong. Without an
@@ -68,10 +68,10 @@
 		w.Header().Set("Content-Type", "application/json")
 		// A failed write means that the reader is gone.
 		_ = json.NewEncoder(w).Encode(body)
-	case eris.Is(err, platform.ErrRefused):
+	case eris.Is(err, eventlog.ErrRefused):
 		http.Error(w, err.Error(), http.StatusTooManyRequests)
-	case eris.Is(err, platform.ErrExpired):
-		oldest, _ := platform.Oldest(err)
+	case eris.Is(err, eventlog.ErrExpired):
+		oldest, _ := eventlog.Oldest(err)
 		w.Header().Set("Content-Type", "application/json")
 		w.WriteHeader(http.StatusGone)
 		_ = json.NewEncoder(w).Encode(expiredAnswer{Oldest: oldest})
--- a/platform/httplog/wire.go
+++ b/eventlog/httplog/wire.go
@@ -1,11 +1,11 @@
 // Package httplog speaks to the platform's log service over HTTP: a client
-// that implements platform.Log, and the handler that the stand-in serves.
+// that implements eventlog.Log, and the handler that the stand-in serves.
 package httplog
 
 import (
 	"time"
 
-	"github.com/marigoldshelf/marigoldshelf/platform"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
 )
 
 // maxRecordBytes bounds one record on the wire.
@@ -35,7 +35,7 @@
 	Newest uint64 `json:"newest"`
 }
 
-func toWire(records []platform.Record) recordsAnswer {
+func toWire(records []eventlog.Record) recordsAnswer {
 	answer := recordsAnswer{Records: make([]recordJSON, len(records))}
 	for i, r := range records {
 		answer.Records[i] = recordJSON(r)
@@ -43,10 +43,10 @@
 	return answer
 }
 
-func fromWire(answer recordsAnswer) []platform.Record {
-	records := make([]platform.Record, len(answer.Records))
+func fromWire(answer recordsAnswer) []eventlog.Record {
+	records := make([]eventlog.Record, len(answer.Records))
 	for i, r := range answer.Records {
-		records[i] = platform.Record(r)
+		records[i] = eventlog.Record(r)
 	}
 	return records
 }
--- a/platform/standin/store.go
+++ b/eventlog/standin/store.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/marigoldshelf/marigoldshelf/clock"
-	"github.com/marigoldshelf/marigoldshelf/platform"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
 )
 
 // Faults is what the stand-in does wrong at present. The zero value works.
@@ -23,10 +23,10 @@
 	// LoseAnswers makes appends take effect, but loses the answer.
 	LoseAnswers bool `json:"lose_answers"`
 	// DownStreams refuses requests on these streams only.
-	DownStreams []platform.Stream `json:"down_streams"`
+	DownStreams []eventlog.Stream `json:"down_streams"`
 }
 
-func (f Faults) isDown(s platform.Stream) bool {
+func (f Faults) isDown(s eventlog.Stream) bool {
 	return f.Down || slices.Contains(f.DownStreams, s)
 }
 
@@ -44,7 +44,7 @@
 
 const defaultBatch = 500
 
-// Store is the stand-in. It implements platform.Log and is safe for concurrent
+// Store is the stand-in. It implements eventlog.Log and is safe for concurrent
 // use.
 type Store struct {
 	clock   clock.Clock
@@ -52,14 +52,14 @@
 
 	mu      sync.Mutex
 	faults  Faults
-	streams map[platform.Stream]*stream
+	streams map[eventlog.Stream]*stream
 	second  time.Time // the second that appended counts in
 	count   int
 }
 
 type stream struct {
 	next    uint64 // the offset of the next record
-	records []platform.Record
+	records []eventlog.Record
 	grown   chan struct{} // closed and replaced at each append
 }
 
@@ -68,7 +68,7 @@
 	if o.Batch == 0 {
 		o.Batch = defaultBatch
 	}
-	return &Store{clock: c, options: o, streams: make(map[platform.Stream]*stream)}
+	return &Store{clock: c, options: o, streams: make(map[eventlog.Stream]*stream)}
 }
 
 // SetFaults replaces the present faults.
@@ -85,8 +85,8 @@
 	return s.faults
 }
 
-// Append implements platform.Log.
-func (s *Store) Append(ctx context.Context, name platform.Stream, data []byte) (uint64, error) {
+// Append implements eventlog.Log.
+func (s *Store) Append(ctx context.Context, name eventlog.Stream, data []byte) (uint64, error) {
 	faults, err := s.suffer(ctx, name)
 	if err != nil {
 		return 0, err
@@ -94,22 +94,22 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.allowAppend() {
-		return 0, platform.ErrRefused
+		return 0, eventlog.ErrRefused
 	}
 	st := s.stream(name)
-	record := platform.Record{Offset: st.next, Time: s.clock.Now(), Data: append([]byte(nil), data...)}
+	record := eventlog.Record{Offset: st.next, Time: s.clock.Now(), Data: append([]byte(nil), data...)}
 	st.next++
 	st.records = append(st.records, record)
 	close(st.grown)
 	st.grown = make(chan struct{})
 	if faults.LoseAnswers {
-		return 0, platform.ErrUnavailable
+		return 0, eventlog.ErrUnavailable
 	}
 	return record.Offset, nil
 }
 
-// Read implements platform.Log.
-func (s *Store) Read(ctx context.Context, name platform.Stream, from uint64, wait time.Duration) ([]platform.Record, error) {
+// Read implements eventlog.Log.
+func (s *Store) Read(ctx context.Context, name eventlog.Stream, from uint64, wait time.Duration) ([]eventlog.Record, error) {
 	if _, err := s.suffer(ctx, name); err != nil {
 		return nil, err
 	}
@@ -128,7 +128,7 @@
 	}
 }
 
-func (s *Store) readNow(name platform.Stream, from uint64) ([]platform.Record, <-chan struct{}, error) {
+func (s *Store) readNow(name eventlog.Stream, from uint64) ([]eventlog.Record, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.stream(name)
@@ -136,33 +136,33 @@
 	oldest := st.next - uint64(len(st.records))
 	from = max(from, 1)
 	if from < oldest {
-		return nil, nil, &platform.ExpiredError{Oldest: oldest}
+		return nil, nil, &eventlog.ExpiredError{Oldest: oldest}
 	}
 	if s.faults.isDown(name) {
-		return nil, nil, platform.ErrUnavailable
+		return nil, nil, eventlog.ErrUnavailable
 	}
 	if from >= st.next {
 		return nil, st.grown, nil
 	}
 	records := st.records[from-oldest:]
 	records = records[:min(len(records), s.options.Batch)]
-	return append([]platform.Record(nil), records...), st.grown, nil
+	return append([]eventlog.Record(nil), records...), st.grown, nil
 }
 
-// Bounds implements platform.Log.
-func (s *Store) Bounds(ctx context.Context, name platform.Stream) (platform.Bounds, error) {
+// Bounds implements eventlog.Log.
+func (s *Store) Bounds(ctx context.Context, name eventlog.Stream) (eventlog.Bounds, error) {
 	if _, err := s.suffer(ctx, name); err != nil {
-		return platform.Bounds{}, err
+		return eventlog.Bounds{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.stream(name)
 	s.expire(st)
-	return platform.Bounds{Oldest: st.next - uint64(len(st.records)), Newest: st.next - 1}, nil
+	return eventlog.Bounds{Oldest: st.next - uint64(len(st.records)), Newest: st.next - 1}, nil
 }
 
 // suffer applies the present faults to a request that begins.
-func (s *Store) suffer(ctx context.Context, name platform.Stream) (Faults, error) {
+func (s *Store) suffer(ctx context.Context, name eventlog.Stream) (Faults, error) {
 	faults := s.Faults()
 	if faults.Delay > 0 {
 		timer := time.NewTimer(faults.Delay)
@@ -170,11 +170,11 @@
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
-			return faults, platform.ErrUnavailable
+			return faults, eventlog.ErrUnavailable
 		}
 	}
 	if faults.isDown(name) {
-		return faults, platform.ErrUnavailable
+		return faults, eventlog.ErrUnavailable
 	}
 	return faults, nil
 }
@@ -204,7 +204,7 @@
 	}
 }
 
-func (s *Store) stream(name platform.Stream) *stream {
+func (s *Store) stream(name eventlog.Stream) *stream {
 	st, found := s.streams[name]
 	if !found {
 		st = &stream{next: 1, grown: make(chan struct{})}
--- a/front/operator/status.go
+++ b/front/operator/status.go
@@ -6,9 +6,9 @@
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/decide/change"
 	"github.com/marigoldshelf/marigoldshelf/decide/choose"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/metrics"
-	"github.com/marigoldshelf/marigoldshelf/platform"
 )
 
 // Status is the answer to GET /v1/status: what the node knows.
@@ -58,7 +58,7 @@
 				answer.Open++
 			}
 		}
-		if batch, found := t.LogBatches.Get(tx, platform.Config); found && batch.Err != nil {
+		if batch, found := t.LogBatches.Get(tx, eventlog.Config); found && batch.Err != nil {
 			answer.Platform = batch.Err.Error()
 		}
 	}, t.Changes.Read(), t.Routes.Read(), t.LogBatches.Read())
--- a/internal/stepped/faults_test.go
+++ b/internal/stepped/faults_test.go
@@ -11,10 +11,10 @@
 
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/decide/spread"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
+	"github.com/marigoldshelf/marigoldshelf/eventlog/standin"
 	"github.com/marigoldshelf/marigoldshelf/internal/stepped"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
-	"github.com/marigoldshelf/marigoldshelf/platform"
-	"github.com/marigoldshelf/marigoldshelf/platform/standin"
 )
 
 // TestMain fixes the fuzz's seed, so that every run gives the same verdict;
@@ -169,7 +169,7 @@
 	f.Run(10*time.Minute + 10*time.Second)
 	f.Log.SetFaults(standin.Faults{})
 	f.Run(10 * time.Second)
-	bounds, err := f.Log.Bounds(t.Context(), platform.Snapshots)
+	bounds, err := f.Log.Bounds(t.Context(), eventlog.Snapshots)
 	must.NoError(t, err)
 	must.Greater(t, 1, bounds.Newest)
 	for _, n := range f.Nodes {
--- a/internal/stepped/fleet.go
+++ b/internal/stepped/fleet.go
@@ -18,9 +18,9 @@
 	"github.com/marigoldshelf/marigoldshelf/decide/snapshot"
 	"github.com/marigoldshelf/marigoldshelf/decide/spread"
 	"github.com/marigoldshelf/marigoldshelf/encoding/distrib"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
+	"github.com/marigoldshelf/marigoldshelf/eventlog/standin"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
-	"github.com/marigoldshelf/marigoldshelf/platform"
-	"github.com/marigoldshelf/marigoldshelf/platform/standin"
 	"github.com/marigoldshelf/marigoldshelf/verdict"
 )
 
@@ -109,7 +109,7 @@
 
 // Append writes to the log as an operator's node would, past the delays, and
 // returns the record's offset; zero when the log refused it.
-func (f *Fleet) Append(s platform.Stream, data []byte) uint64 {
+func (f *Fleet) Append(s eventlog.Stream, data []byte) uint64 {
 	offset, err := f.Log.Append(context.Background(), s, data)
 	if err != nil {
 		return 0
--- a/internal/stepped/fleet_test.go
+++ b/internal/stepped/fleet_test.go
@@ -9,10 +9,10 @@
 
 	"github.com/marigoldshelf/marigoldshelf/decide/change"
 	"github.com/marigoldshelf/marigoldshelf/encoding/record"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
+	"github.com/marigoldshelf/marigoldshelf/eventlog/standin"
 	"github.com/marigoldshelf/marigoldshelf/internal/stepped"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
-	"github.com/marigoldshelf/marigoldshelf/platform"
-	"github.com/marigoldshelf/marigoldshelf/platform/standin"
 )
 
 // operators writes changes to a fleet's log and is the oracle: its state is
@@ -34,7 +34,7 @@
 	o.t.Helper()
 	data, err := record.EncodeChange(r)
 	must.NoError(o.t, err)
-	offset := o.fleet.Append(platform.Config, data)
+	offset := o.fleet.Append(eventlog.Config, data)
 	if offset == 0 {
 		return false
 	}
--- a/internal/stepped/fuzz_test.go
+++ b/internal/stepped/fuzz_test.go
@@ -12,10 +12,10 @@
 
 	"github.com/marigoldshelf/marigoldshelf/decide/snapshot"
 	"github.com/marigoldshelf/marigoldshelf/decide/spread"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
+	"github.com/marigoldshelf/marigoldshelf/eventlog/standin"
 	"github.com/marigoldshelf/marigoldshelf/internal/stepped"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
-	"github.com/marigoldshelf/marigoldshelf/platform"
-	"github.com/marigoldshelf/marigoldshelf/platform/standin"
 )
 
 // keptRecords is what the fuzzed platform retains; releases pause when no
@@ -203,7 +203,7 @@
 
 // newest folds the log's retained end: the oracle must not have drifted.
 func (m *machine) newest() mesh.Version {
-	bounds, err := m.fleet.Log.Bounds(context.Background(), platform.Config)
+	bounds, err := m.fleet.Log.Bounds(context.Background(), eventlog.Config)
 	must.NoError(m.t, err)
 	must.Eq(m.t, m.state.Offset, bounds.Newest)
 	return m.state.Version
--- a/internal/stepped/io.go
+++ b/internal/stepped/io.go
@@ -7,8 +7,8 @@
 
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/decide/spread"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
-	"github.com/marigoldshelf/marigoldshelf/platform"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 )
 
@@ -63,15 +63,15 @@
 
 // logWait is a read that the platform holds.
 type logWait struct {
-	stream platform.Stream
+	stream eventlog.Stream
 	try    func() bool
 }
 
 // readLog reads the platform's log; the platform holds an empty answer.
-func (n *Node) readLog(s platform.Stream, r tables.LogRead, done func(tables.LogBatch)) {
+func (n *Node) readLog(s eventlog.Stream, r tables.LogRead, done func(tables.LogBatch)) {
 	f := n.fleet
 	ended := false
-	finish := func(records []platform.Record, err error) {
+	finish := func(records []eventlog.Record, err error) {
 		if ended {
 			return
 		}
@@ -83,7 +83,7 @@
 		batch := tables.LogBatch{From: r.From, At: r.At, Failures: r.Failures, Records: records, Err: err}
 		f.after(f.oneWay(), func() { done(batch) })
 	}
-	f.after(r.Wait+answerTimeout, func() { finish(nil, platform.ErrUnavailable) })
+	f.after(r.Wait+answerTimeout, func() { finish(nil, eventlog.ErrUnavailable) })
 	if f.lost(n.Member.Host, "") {
 		return
 	}
@@ -105,7 +105,7 @@
 }
 
 // wakeReads tries the held reads of a stream again.
-func (f *Fleet) wakeReads(s platform.Stream) {
+func (f *Fleet) wakeReads(s eventlog.Stream) {
 	waiting := f.waiting
 	f.waiting = nil
 	for _, w := range waiting {
@@ -115,12 +115,12 @@
 	}
 }
 
-func (n *Node) bounds(s platform.Stream, a tables.BoundsAsk, done func(tables.BoundsResult)) {
+func (n *Node) bounds(s eventlog.Stream, a tables.BoundsAsk, done func(tables.BoundsResult)) {
 	n.callPlatform(func() func() {
 		n.fleet.Traffic.Reads++
 		bounds, err := n.fleet.Log.Bounds(context.Background(), s)
 		return func() { done(tables.BoundsResult{Ask: a, Bounds: bounds, Err: err}) }
-	}, func() { done(tables.BoundsResult{Ask: a, Err: platform.ErrUnavailable}) })
+	}, func() { done(tables.BoundsResult{Ask: a, Err: eventlog.ErrUnavailable}) })
 }
 
 func (n *Node) append(_ string, a tables.Append, done func(tables.AppendDone)) {
@@ -129,7 +129,7 @@
 		offset, err := n.fleet.Log.Append(context.Background(), a.Stream, []byte(a.Data))
 		n.fleet.wakeReads(a.Stream)
 		return func() { done(tables.AppendDone{Offset: offset, Err: err}) }
-	}, func() { done(tables.AppendDone{Err: platform.ErrUnavailable}) })
+	}, func() { done(tables.AppendDone{Err: eventlog.ErrUnavailable}) })
 }
 
 // callPlatform runs call at the platform and the function that it returns back
--- a/internal/stepped/node.go
+++ b/internal/stepped/node.go
@@ -11,10 +11,10 @@
 	"github.com/marigoldshelf/marigoldshelf/controller"
 	"github.com/marigoldshelf/marigoldshelf/decide/spread"
 	"github.com/marigoldshelf/marigoldshelf/encoding/distrib"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
 	front "github.com/marigoldshelf/marigoldshelf/front/distrib"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/node"
-	"github.com/marigoldshelf/marigoldshelf/platform"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 )
 
@@ -178,7 +178,7 @@
 			done(r)
 		}
 	}
-	f.after(a.Wait+answerTimeout, func() { finish(tables.AskResult{Ask: a, Err: platform.ErrUnavailable}) })
+	f.after(a.Wait+answerTimeout, func() { finish(tables.AskResult{Ask: a, Err: eventlog.ErrUnavailable}) })
 	if f.lost(n.Member.Host, a.To.Host) {
 		return
 	}
@@ -187,7 +187,7 @@
 	f.after(f.oneWay(), func() {
 		other, runs := f.Nodes[a.To.Host]
 		if !runs {
-			finish(tables.AskResult{Ask: a, Err: platform.ErrUnavailable})
+			finish(tables.AskResult{Ask: a, Err: eventlog.ErrUnavailable})
 			return
 		}
 		other.serve(message, func(answer spread.Answer) {
--- a/measure/convergence/convergence.go
+++ b/measure/convergence/convergence.go
@@ -14,9 +14,9 @@
 	"github.com/marigoldshelf/marigoldshelf/decide/change"
 	"github.com/marigoldshelf/marigoldshelf/decide/spread"
 	"github.com/marigoldshelf/marigoldshelf/encoding/record"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
 	"github.com/marigoldshelf/marigoldshelf/internal/stepped"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
-	"github.com/marigoldshelf/marigoldshelf/platform"
 )
 
 const (
@@ -198,7 +198,7 @@
 	if err != nil {
 		return err
 	}
-	offset := r.fleet.Append(platform.Config, data)
+	offset := r.fleet.Append(eventlog.Config, data)
 	state, outcome := r.state.Apply(offset, c)
 	r.state = state
 	if !outcome.Accepted {
--- a/node/config.go
+++ b/node/config.go
@@ -17,10 +17,10 @@
 	"github.com/marigoldshelf/marigoldshelf/controllers/submit"
 	"github.com/marigoldshelf/marigoldshelf/decide/snapshot"
 	"github.com/marigoldshelf/marigoldshelf/decide/spread"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
 	"github.com/marigoldshelf/marigoldshelf/front/distrib"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/outbox"
-	"github.com/marigoldshelf/marigoldshelf/platform"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 	"github.com/marigoldshelf/marigoldshelf/verdict"
 )
@@ -92,7 +92,7 @@
 	t := n.tables
 	log := n.options.Log
 	outbox.Serve(ctx, n.ioPool, t.Board, "read log", t.LogReads, t.LogBatches,
-		func(ctx context.Context, s platform.Stream, r tables.LogRead) tables.LogBatch {
+		func(ctx context.Context, s eventlog.Stream, r tables.LogRead) tables.LogBatch {
 			ctx, cancel := context.WithTimeout(ctx, r.Wait+platformTimeout)
 			defer cancel()
 			records, err := log.Read(ctx, s, r.From, r.Wait)
@@ -106,7 +106,7 @@
 			return tables.AppendDone{Offset: offset, Err: err}
 		})
 	outbox.Serve(ctx, n.ioPool, t.Board, "bounds", t.BoundsAsks, t.BoundsResults,
-		func(ctx context.Context, s platform.Stream, a tables.BoundsAsk) tables.BoundsResult {
+		func(ctx context.Context, s eventlog.Stream, a tables.BoundsAsk) tables.BoundsResult {
 			ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 			defer cancel()
 			bounds, err := log.Bounds(ctx, s)
--- a/node/keys.go
+++ b/node/keys.go
@@ -13,10 +13,10 @@
 	"github.com/marigoldshelf/marigoldshelf/controllers/logread"
 	"github.com/marigoldshelf/marigoldshelf/decide/idempotency"
 	"github.com/marigoldshelf/marigoldshelf/encoding/keys"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
 	"github.com/marigoldshelf/marigoldshelf/front/keyed"
 	"github.com/marigoldshelf/marigoldshelf/front/keypeer"
 	"github.com/marigoldshelf/marigoldshelf/outbox"
-	"github.com/marigoldshelf/marigoldshelf/platform"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 	"github.com/marigoldshelf/marigoldshelf/verdict"
 )
@@ -34,7 +34,7 @@
 	t := n.tables
 	config := idempotency.DefaultConfig()
 	self := idempotency.HolderOf(n.self)
-	logread.Register(n.pool, t, platform.Keys, keymap.Consumer{
+	logread.Register(n.pool, t, eventlog.Keys, keymap.Consumer{
 		Tables: t, Clock: n.options.Clock, Config: config, Self: self,
 	})
 	keyplan.Register(n.pool, t, keyplan.Config{
--- a/node/node.go
+++ b/node/node.go
@@ -17,12 +17,12 @@
 	"github.com/marigoldshelf/marigoldshelf/clock"
 	"github.com/marigoldshelf/marigoldshelf/controller"
 	"github.com/marigoldshelf/marigoldshelf/decide/drain"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
 	"github.com/marigoldshelf/marigoldshelf/front/operator"
 	"github.com/marigoldshelf/marigoldshelf/logs"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/metrics"
 	"github.com/marigoldshelf/marigoldshelf/network"
-	"github.com/marigoldshelf/marigoldshelf/platform"
 	"github.com/marigoldshelf/marigoldshelf/settings"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 )
@@ -34,7 +34,7 @@
 type Options struct {
 	Settings settings.Settings
 	// Log is the platform's log service.
-	Log platform.Log
+	Log eventlog.Log
 	// Network opens the node's ports and connections; nil for the host's.
 	Network network.Network
 	// Clock is the node's time.
--- a/tables/platform.go
+++ b/tables/eventlog.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
-	"github.com/marigoldshelf/marigoldshelf/platform"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
 )
 
 // LogRead asks an I/O worker to read a stream.
@@ -25,7 +25,7 @@
 	From     uint64
 	At       time.Time
 	Failures int
-	Records  []platform.Record
+	Records  []eventlog.Record
 	// Err is nil when the read succeeded.
 	Err error
 	// RetryAt is when a failed read is tried again; zero until it is set.
@@ -34,7 +34,7 @@
 
 // Append asks an I/O worker to append a record.
 type Append struct {
-	Stream platform.Stream
+	Stream eventlog.Stream
 	// Data is the encoded record, as a string so that rows can be compared.
 	Data string
 }
@@ -43,20 +43,20 @@
 type AppendDone struct {
 	Offset uint64
 	// Err is nil when the record is in the log for certain; see
-	// platform.IsUnknown.
+	// eventlog.IsUnknown.
 	Err error
 }
 
-// Platform has the outboxes and inboxes of the I/O workers that talk to the
+// EventLog has the outboxes and inboxes of the I/O workers that talk to the
 // platform's log.
-type Platform struct {
+type EventLog struct {
 	// Positions has the offset of the last record of each stream that was
 	// folded into a table which keeps no offset of its own.
-	Positions *blackboard.Table[platform.Stream, uint64]
+	Positions *blackboard.Table[eventlog.Stream, uint64]
 	// LogReads has the read wanted on each stream.
-	LogReads *blackboard.Table[platform.Stream, LogRead]
+	LogReads *blackboard.Table[eventlog.Stream, LogRead]
 	// LogBatches has the records read, until a controller takes them.
-	LogBatches *blackboard.Table[platform.Stream, LogBatch]
+	LogBatches *blackboard.Table[eventlog.Stream, LogBatch]
 	// Appends has the records to append, by record ID.
 	Appends *blackboard.Table[string, Append]
 	// AppendsDone has the outcomes of appends, by record ID, until the asker
@@ -64,11 +64,11 @@
 	AppendsDone *blackboard.Table[string, AppendDone]
 }
 
-func newPlatform(b *blackboard.Board) Platform {
-	return Platform{
-		Positions:   blackboard.NewTable[platform.Stream, uint64](b, "positions", rankPositions),
-		LogReads:    blackboard.NewTable[platform.Stream, LogRead](b, "log_reads", rankLogReads),
-		LogBatches:  blackboard.NewTable[platform.Stream, LogBatch](b, "log_batches", rankLogBatches),
+func newEventLog(b *blackboard.Board) EventLog {
+	return EventLog{
+		Positions:   blackboard.NewTable[eventlog.Stream, uint64](b, "positions", rankPositions),
+		LogReads:    blackboard.NewTable[eventlog.Stream, LogRead](b, "log_reads", rankLogReads),
+		LogBatches:  blackboard.NewTable[eventlog.Stream, LogBatch](b, "log_batches", rankLogBatches),
 		Appends:     blackboard.NewTable[string, Append](b, "appends", rankAppends),
 		AppendsDone: blackboard.NewTable[string, AppendDone](b, "appends_done", rankAppendsDone),
 	}
--- a/tables/order.go
+++ b/tables/order.go
@@ -96,7 +96,7 @@
 	Fleet
 	Traffic
 	Keys
-	Platform
+	EventLog
 	Messages
 	Journal
 }
@@ -110,7 +110,7 @@
 		Fleet:    newFleet(b),
 		Traffic:  newTraffic(b),
 		Keys:     newKeys(b),
-		Platform: newPlatform(b),
+		EventLog: newEventLog(b),
 		Messages: newMessages(b),
 		Journal:  newJournal(b),
 	}
--- a/tables/spread.go
+++ b/tables/spread.go
@@ -6,8 +6,8 @@
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/decide/snapshot"
 	"github.com/marigoldshelf/marigoldshelf/decide/spread"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
-	"github.com/marigoldshelf/marigoldshelf/platform"
 )
 
 // FollowLane is the only key of Asks and AskResults.
@@ -36,7 +36,7 @@
 // BoundsResult is what came of a BoundsAsk.
 type BoundsResult struct {
 	Ask    BoundsAsk
-	Bounds platform.Bounds
+	Bounds eventlog.Bounds
 	Err    error
 	// RetryAt is when a failed question is put again; zero until it is set.
 	RetryAt time.Time
@@ -93,8 +93,8 @@
 	Recalls    *blackboard.Table[mesh.HostID, spread.Recalled]
 	// BoundsAsks and BoundsResults are the outbox and inbox of the question
 	// where a stream ends.
-	BoundsAsks    *blackboard.Table[platform.Stream, BoundsAsk]
-	BoundsResults *blackboard.Table[platform.Stream, BoundsResult]
+	BoundsAsks    *blackboard.Table[eventlog.Stream, BoundsAsk]
+	BoundsResults *blackboard.Table[eventlog.Stream, BoundsResult]
 }
 
 func newSpread(b *blackboard.Board) Spread {
@@ -114,7 +114,7 @@
 		AskResults:     blackboard.NewTable[string, AskResult](b, "ask_results", rankAskResults),
 		RecallAsks:     blackboard.NewTable[mesh.HostID, RecallAsk](b, "recall_asks", rankRecallAsks),
 		Recalls:        blackboard.NewTable[mesh.HostID, spread.Recalled](b, "recalls", rankRecalls),
-		BoundsAsks:     blackboard.NewTable[platform.Stream, BoundsAsk](b, "bounds_asks", rankBoundsAsks),
-		BoundsResults:  blackboard.NewTable[platform.Stream, BoundsResult](b, "bounds_results", rankBoundsResults),
+		BoundsAsks:     blackboard.NewTable[eventlog.Stream, BoundsAsk](b, "bounds_asks", rankBoundsAsks),
+		BoundsResults:  blackboard.NewTable[eventlog.Stream, BoundsResult](b, "bounds_results", rankBoundsResults),
 	}
 }
--- a/test/bubble/faults_test.go
+++ b/test/bubble/faults_test.go
@@ -9,8 +9,8 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/marigoldshelf/marigoldshelf/decide/change"
+	"github.com/marigoldshelf/marigoldshelf/eventlog/standin"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
-	"github.com/marigoldshelf/marigoldshelf/platform/standin"
 	"github.com/marigoldshelf/marigoldshelf/test/bubble"
 )
 
--- a/test/bubble/fleet.go
+++ b/test/bubble/fleet.go
@@ -18,11 +18,11 @@
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/clock"
 	"github.com/marigoldshelf/marigoldshelf/decide/change"
+	"github.com/marigoldshelf/marigoldshelf/eventlog/standin"
 	"github.com/marigoldshelf/marigoldshelf/internal/memnet"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/metrics"
 	"github.com/marigoldshelf/marigoldshelf/node"
-	"github.com/marigoldshelf/marigoldshelf/platform/standin"
 	"github.com/marigoldshelf/marigoldshelf/settings"
 )
 
--- a/test/bubble/platform.go
+++ b/test/bubble/platform.go
@@ -5,13 +5,13 @@
 	"sync"
 	"time"
 
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
-	"github.com/marigoldshelf/marigoldshelf/platform"
 )
 
 // zonedLog is the platform as zones see it: some may not reach it.
 type zonedLog struct {
-	platform.Log
+	eventlog.Log
 
 	mu     sync.Mutex
 	cutOff map[mesh.Zone]bool
@@ -28,7 +28,7 @@
 }
 
 // from returns the platform as seen from a zone.
-func (l *zonedLog) from(zone mesh.Zone) platform.Log { return zoneLog{l, zone} }
+func (l *zonedLog) from(zone mesh.Zone) eventlog.Log { return zoneLog{l, zone} }
 
 type zoneLog struct {
 	all  *zonedLog
@@ -52,19 +52,19 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return platform.ErrUnavailable
+	return eventlog.ErrUnavailable
 }
 
-// Append implements platform.Log.
-func (l zoneLog) Append(ctx context.Context, s platform.Stream, data []byte) (uint64, error) {
+// Append implements eventlog.Log.
+func (l zoneLog) Append(ctx context.Context, s eventlog.Stream, data []byte) (uint64, error) {
 	if err := l.check(ctx); err != nil {
 		return 0, err
 	}
 	return l.all.Log.Append(ctx, s, data)
 }
 
-// Read implements platform.Log. A read that a cut overtakes is lost.
-func (l zoneLog) Read(ctx context.Context, s platform.Stream, from uint64, wait time.Duration) ([]platform.Record, error) {
+// Read implements eventlog.Log. A read that a cut overtakes is lost.
+func (l zoneLog) Read(ctx context.Context, s eventlog.Stream, from uint64, wait time.Duration) ([]eventlog.Record, error) {
 	if err := l.check(ctx); err != nil {
 		return nil, err
 	}
@@ -75,10 +75,10 @@
 	return records, err
 }
 
-// Bounds implements platform.Log.
-func (l zoneLog) Bounds(ctx context.Context, s platform.Stream) (platform.Bounds, error) {
+// Bounds implements eventlog.Log.
+func (l zoneLog) Bounds(ctx context.Context, s eventlog.Stream) (eventlog.Bounds, error) {
 	if err := l.check(ctx); err != nil {
-		return platform.Bounds{}, err
+		return eventlog.Bounds{}, err
 	}
 	return l.all.Log.Bounds(ctx, s)
 }
--- a/test/keys/world_test.go
+++ b/test/keys/world_test.go
@@ -18,8 +18,8 @@
 	"github.com/marigoldshelf/marigoldshelf/controllers/keysync"
 	"github.com/marigoldshelf/marigoldshelf/controllers/logread"
 	"github.com/marigoldshelf/marigoldshelf/decide/idempotency"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
-	"github.com/marigoldshelf/marigoldshelf/platform"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 	"github.com/marigoldshelf/marigoldshelf/verdict"
 )
@@ -73,7 +73,7 @@
 	config idempotency.Config
 	board  []blackboard.Option
 	nodes  []*fakeNode
-	log    []platform.Record
+	log    []eventlog.Record
 	oldest uint64
 	late   []string // records whose append may take effect again
 	wire   []*message
@@ -112,7 +112,7 @@
 		sent: make(map[string]tables.KeySend), asked: make(map[string]*message),
 	}
 	self := idempotency.HolderOf(n.member)
-	logread.Register(n.pool, n.t, platform.Keys, keymap.Consumer{Tables: n.t, Clock: w.clock, Config: w.config, Self: self})
+	logread.Register(n.pool, n.t, eventlog.Keys, keymap.Consumer{Tables: n.t, Clock: w.clock, Config: w.config, Self: self})
 	keyplan.Register(n.pool, n.t, keyplan.Config{
 		Keys: w.config, Self: self, StartedAt: w.clock.Now(),
 		Count: func(k idempotency.Kind) { w.counts["planned_"+string(k)]++ },
@@ -278,7 +278,7 @@
 func (w *world) lose(i int) {
 	m := w.wire[i]
 	w.wire = append(w.wire[:i:i], w.wire[i+1:]...)
-	w.finish(&message{from: m.from, id: m.id, send: m.send, reply: &tables.KeyReply{Sent: m.send, Err: platform.ErrUnavailable}})
+	w.finish(&message{from: m.from, id: m.id, send: m.send, reply: &tables.KeyReply{Sent: m.send, Err: eventlog.ErrUnavailable}})
 }
 
 // repeat delivers a request that stays on the wire.
@@ -303,16 +303,16 @@
 // until deliverRead.
 func (w *world) serveRead(n *fakeNode) {
 	n.t.Board.Do(func(tx *blackboard.Tx) {
-		read, wanted := n.t.LogReads.Get(tx, platform.Keys)
+		read, wanted := n.t.LogReads.Get(tx, eventlog.Keys)
 		if !wanted || n.held != nil {
 			return
 		}
 		batch := tables.LogBatch{From: read.From, At: read.At}
 		switch {
 		case n.cut:
-			batch.Err = platform.ErrUnavailable
+			batch.Err = eventlog.ErrUnavailable
 		case read.From < w.oldest:
-			batch.Err = &platform.ExpiredError{Oldest: w.oldest}
+			batch.Err = &eventlog.ExpiredError{Oldest: w.oldest}
 		default:
 			for _, r := range w.log {
 				if r.Offset >= read.From && len(batch.Records) < 2 {
@@ -329,8 +329,8 @@
 		return
 	}
 	n.t.Board.Do(func(tx *blackboard.Tx) {
-		n.t.LogReads.Delete(tx, platform.Keys)
-		n.t.LogBatches.Put(tx, platform.Keys, *n.held)
+		n.t.LogReads.Delete(tx, eventlog.Keys)
+		n.t.LogBatches.Put(tx, eventlog.Keys, *n.held)
 	}, n.t.LogReads.Write(), n.t.LogBatches.Write())
 	n.held = nil
 }
@@ -342,7 +342,7 @@
 		n.t.Appends.Each(tx, func(id string, a tables.Append) bool {
 			done := tables.AppendDone{}
 			if !answered || n.cut {
-				done.Err = platform.ErrUnavailable
+				done.Err = eventlog.ErrUnavailable
 			}
 			if !n.cut {
 				w.write(a.Data)
@@ -357,7 +357,7 @@
 
 func (w *world) write(data string) {
 	offset := w.oldest + uint64(len(w.log))
-	w.log = append(w.log, platform.Record{Offset: offset, Time: w.clock.Now(), Data: []byte(data)})
+	w.log = append(w.log, eventlog.Record{Offset: offset, Time: w.clock.Now(), Data: []byte(data)})
 }
 
 // retain drops the records of the log but the last few.
--- a/test/process/fleet.go
+++ b/test/process/fleet.go
@@ -13,9 +13,9 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/marigoldshelf/marigoldshelf/decide/change"
+	"github.com/marigoldshelf/marigoldshelf/eventlog/standin"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/node"
-	"github.com/marigoldshelf/marigoldshelf/platform/standin"
 	"github.com/marigoldshelf/marigoldshelf/settings"
 )
 
--- a/test/process/recovery_test.go
+++ b/test/process/recovery_test.go
@@ -7,9 +7,9 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/marigoldshelf/marigoldshelf/eventlog/standin"
 	"github.com/marigoldshelf/marigoldshelf/front/operator"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
-	"github.com/marigoldshelf/marigoldshelf/platform/standin"
 	"github.com/marigoldshelf/marigoldshelf/test/process"
 )
 
--- a/test/session/fuzz_test.go
+++ b/test/session/fuzz_test.go
@@ -15,9 +15,9 @@
 	"github.com/marigoldshelf/marigoldshelf/decide/change"
 	"github.com/marigoldshelf/marigoldshelf/decide/submit"
 	"github.com/marigoldshelf/marigoldshelf/encoding/record"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
+	"github.com/marigoldshelf/marigoldshelf/eventlog/standin"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
-	"github.com/marigoldshelf/marigoldshelf/platform"
-	"github.com/marigoldshelf/marigoldshelf/platform/standin"
 )
 
 func init() {
@@ -133,7 +133,7 @@
 	defer f.store.SetFaults(faults)
 	var list []change.Record
 	for {
-		batch, err := f.store.Read(context.Background(), platform.Config, uint64(len(list))+1, 0)
+		batch, err := f.store.Read(context.Background(), eventlog.Config, uint64(len(list))+1, 0)
 		if err != nil || len(batch) == 0 {
 			return list
 		}
--- a/test/session/session_test.go
+++ b/test/session/session_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/sebdah/goldie/v2"
 
+	"github.com/marigoldshelf/marigoldshelf/eventlog/standin"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
-	"github.com/marigoldshelf/marigoldshelf/platform/standin"
 )
 
 type proposal struct {
--- a/test/session/world_test.go
+++ b/test/session/world_test.go
@@ -19,12 +19,12 @@
 	"github.com/marigoldshelf/marigoldshelf/controllers/submit"
 	"github.com/marigoldshelf/marigoldshelf/decide/change"
 	"github.com/marigoldshelf/marigoldshelf/decide/spread"
+	"github.com/marigoldshelf/marigoldshelf/eventlog"
+	"github.com/marigoldshelf/marigoldshelf/eventlog/standin"
 	"github.com/marigoldshelf/marigoldshelf/front/operator"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/metrics"
 	"github.com/marigoldshelf/marigoldshelf/outbox"
-	"github.com/marigoldshelf/marigoldshelf/platform"
-	"github.com/marigoldshelf/marigoldshelf/platform/standin"
 	"github.com/marigoldshelf/marigoldshelf/settings"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 	"github.com/uber-go/tally/v4"
@@ -104,7 +104,7 @@
 
 func (w *world) append(ctx context.Context, n *testNode, a tables.Append) tables.AppendDone {
 	if w.refuse {
-		return tables.AppendDone{Err: platform.ErrRefused}
+		return tables.AppendDone{Err: eventlog.ErrRefused}
 	}
 	offset, err := w.store.Append(ctx, a.Stream, []byte(a.Data))
 	if !w.store.Faults().Down {
@@ -135,7 +135,7 @@
 		return false
 	}
 	consumer := changes.Consumer{Tables: n.tables}
-	records, err := w.store.Read(context.Background(), platform.Config, n.tables.Changes.Load().Offset+1, 0)
+	records, err := w.store.Read(context.Background(), eventlog.Config, n.tables.Changes.Load().Offset+1, 0)
 	if err != nil || len(records) == 0 {
 		return false
 	}
