--- a/cmd/marigoldd/main.go
+++ b/cmd/marigoldd/main.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/signal"
@@ -15,10 +16,13 @@
 
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/clock"
+	"github.com/marigoldshelf/marigoldshelf/encoding/hop"
 	"github.com/marigoldshelf/marigoldshelf/eventlog/httplog"
 	"github.com/marigoldshelf/marigoldshelf/logs"
 	"github.com/marigoldshelf/marigoldshelf/metrics"
+	"github.com/marigoldshelf/marigoldshelf/network"
 	"github.com/marigoldshelf/marigoldshelf/node"
+	"github.com/marigoldshelf/marigoldshelf/platform"
 	"github.com/marigoldshelf/marigoldshelf/settings"
 )
 
@@ -43,24 +47,43 @@
 	}
 	counters, page, reporting := metrics.Scraped()
 	defer reporting.Close()
-	n, err := node.New(node.Options{
+	options := node.Options{
 		Settings:    checked,
-		Log:         httplog.NewClient(checked.Platform.URL, &http.Client{}),
 		Clock:       clock.System{},
-		Seed:        uint64(os.Getpid()),
+		Seed:        rand.Uint64(),
 		Board:       blackboard.New(),
 		Metrics:     counters,
 		MetricsPage: page,
 		Logger:      log,
-	})
+	}
+	usePlatform(&options)
+	n, err := node.New(options)
 	if err != nil {
 		return err
 	}
-	if err := json.NewEncoder(os.Stdout).Encode(n.Addresses()); err != nil {
-		return err
+	if options.Adapter == nil {
+		if err := json.NewEncoder(os.Stdout).Encode(n.Addresses()); err != nil {
+			return err
+		}
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	log.Info("started")
 	return n.Run(ctx)
 }
+
+// usePlatform sets up what differs between the kinds of platform: where the
+// log is, and where lines about decisions go.
+func usePlatform(o *node.Options) {
+	url := o.Settings.Platform.URL
+	if o.Settings.Platform.Kind == settings.LogPlatform {
+		o.Log = httplog.NewClient(url, &http.Client{})
+		return
+	}
+	o.LogBuffer = logs.NewBounded(os.Stdout)
+	o.Logger = logs.New(o.LogBuffer, "node")
+	o.Events = logs.NewEvents(o.Logger, o.Clock.Now)
+	adapter := platform.New(url, &http.Client{Transport: hop.NewTransport(network.System{}, 0)})
+	o.Adapter = adapter
+	o.Log = adapter.Log()
+}
--- a/controllers/endpoints/endpoints.go
+++ b/controllers/endpoints/endpoints.go
@@ -1,7 +1,7 @@
 // Package endpoints is the controller that joins the configuration in force
 // with the members: for each service, the backend servers that may get its
-// requests. A member gets work only if it is alive and the inventory lists its
-// host for the service.
+// requests. A member gets work only if it is alive and the inventory, where there
+// is one, lists its host for the service.
 package endpoints
 
 import (
@@ -52,9 +52,8 @@
 func membersByService(tx *blackboard.Tx, t *tables.Tables, routes *route.Table) map[mesh.ServiceName][]mesh.Member {
 	wanted := make(map[mesh.ServiceName][]mesh.Member)
 	t.Members.Each(tx, func(id mesh.HostID, m mesh.Member) bool {
-		entry, listed := routes.Config.Hosts[id]
 		usable := m.State == mesh.Alive || m.State == mesh.Suspect
-		if listed && usable && entry.Service == m.Service {
+		if usable && routes.Admits(id, m.Service) {
 			wanted[m.Service] = append(wanted[m.Service], m)
 		}
 		return true
--- a/decide/admit/admit.go
+++ b/decide/admit/admit.go
@@ -30,11 +30,15 @@
 
 // Request is one request at the admission point.
 type Request struct {
-	ID       string
-	Class    mesh.Class
+	ID    string
+	Class mesh.Class
+	// Priority is its rank; 0 goes first, and classes order the equal.
+	Priority int
 	Arrived  time.Time
 	Deadline time.Time
-	State    State
+	// Objective is when an answer is worth less; zero when nobody said.
+	Objective time.Time
+	State     State
 	// Granted is when it got its slot; zero before.
 	Granted time.Time
 	// Whole is true on a finished request that was answered whole.
@@ -180,9 +184,10 @@
 	return r
 }
 
-// byUrgency orders by class, then deadline, then arrival.
+// byUrgency orders by priority, then class, then deadline, then arrival.
 func byUrgency(a, b Request) int {
 	return cmp.Or(
+		cmp.Compare(a.Priority, b.Priority),
 		cmp.Compare(a.Class.Index(), b.Class.Index()),
 		a.Deadline.Compare(b.Deadline),
 		a.Arrived.Compare(b.Arrived),
--- a/decide/call/call.go
+++ b/decide/call/call.go
@@ -30,6 +30,8 @@
 	// Whole is true when the whole body is at hand, so that the request can
 	// be sent to two backend servers at once.
 	Whole bool
+	// CallerID is the caller's own name for the request, for logs.
+	CallerID string
 }
 
 // StepKind is what the HTTP side has to do next, beside the attempts.
@@ -93,12 +95,18 @@
 
 // Call is the state of one request. It is a value.
 type Call struct {
-	Request  Request
-	Rule     mesh.Rule
-	Version  mesh.Version
-	Deadline time.Time
-	Attempts []Attempt
-	Step     Step
+	Request Request
+	// Rule is the route's rule, with the service that the split gave.
+	Rule    mesh.Rule
+	Version mesh.Version
+	// Priority and MaxBackends are the route's.
+	Priority    int
+	MaxBackends int
+	Deadline    time.Time
+	// Objective is when an answer is worth less; zero when nobody said.
+	Objective time.Time
+	Attempts  []Attempt
+	Step      Step
 	// RetryAt is when the next attempt is due; zero when none is planned.
 	RetryAt time.Time
 	// HedgeAt is when a second attempt is due; zero for never.
@@ -129,7 +137,9 @@
 	// Service returns the state of a service, to be modified in place.
 	Service func(mesh.ServiceName) *Service
 	// Pick chooses among the candidates.
-	Pick   choose.Policy
+	Pick choose.Policy
+	// Budget bounds the retries of a service; the zero value takes the default.
+	Budget retry.Policy
 	Random *rand.Rand
 }
 
@@ -143,12 +153,12 @@
 	case w.Routes == nil:
 		return c.refuse(verdict.NotRun, verdict.NoConfiguration)
 	}
-	rule, found := w.Routes.Match(r.HostName, r.Path)
+	matched, found := w.Routes.Match(r.HostName, r.Path)
 	if !found {
 		return c.refuse(verdict.NotRun, verdict.NoRoute)
 	}
-	c.Rule = rule
-	c.Version = w.Routes.Version
+	c = c.routed(matched, w)
+	rule := c.Rule
 	c.Deadline = r.Arrived.Add(rule.Deadline())
 	if !r.Deadline.IsZero() && r.Deadline.Before(c.Deadline) {
 		c.Deadline = r.Deadline
@@ -157,7 +167,7 @@
 		return c.refuse(verdict.NotRun, verdict.DeadlineExceeded)
 	}
 	service := w.Service(rule.Service)
-	service.Retries = service.Retries.Deposit()
+	service.Retries = service.Retries.Deposit(w.Budget)
 	if c.mayHedge() {
 		service.Hedges = service.Hedges.Deposit()
 		if delay, known := service.Hedges.Delay(); known {
@@ -167,6 +177,36 @@
 	return c.sendFirst(now, w)
 }
 
+// routed returns the call with what its route says, under the version in force.
+func (c Call) routed(r mesh.Route, w World) Call {
+	c.Rule = r.Rule
+	if len(r.Split) > 0 {
+		c.Rule.Service = drawShare(r.Split, w.Random)
+	}
+	c.Version = w.Routes.Version
+	c.Priority = r.Priority
+	c.MaxBackends = r.MaxBackends
+	if r.Objective > 0 {
+		c.Objective = c.Request.Arrived.Add(r.Objective)
+	}
+	return c
+}
+
+// drawShare draws the service of one request by the shares' weights.
+func drawShare(shares []mesh.Share, random *rand.Rand) mesh.ServiceName {
+	total := 0
+	for _, share := range shares {
+		total += share.Weight
+	}
+	drawn := random.IntN(max(total, 1))
+	for _, share := range shares {
+		if drawn -= share.Weight; drawn < 0 {
+			return share.Service
+		}
+	}
+	return shares[len(shares)-1].Service
+}
+
 func (c Call) mayHedge() bool {
 	return c.Rule.Hedge && c.Rule.Class == mesh.Lookup && c.Request.Whole
 }
--- a/decide/call/continue.go
+++ b/decide/call/continue.go
@@ -93,9 +93,9 @@
 	if !c.mayRetry(last) {
 		return c.refuseAfter(last.Reason)
 	}
-	if !isFree(last.Reason) {
+	if !c.isFree(last) {
 		service := w.Service(c.Rule.Service)
-		left, allowed := service.Retries.Withdraw()
+		left, allowed := service.Retries.Withdraw(w.Budget)
 		if !allowed {
 			return c.refuseAfter(verdict.RetryBudget)
 		}
@@ -108,24 +108,61 @@
 	return c.sendAgain(now, w, last)
 }
 
-// isFree reports whether a refusal cost the backend server nothing and says
-// nothing of the load elsewhere, so that the next one is asked at once.
-func isFree(reason verdict.Reason) bool {
+// maxTries bounds the nodes that one request is taken to while none of them
+// passes it on. Each costs a round trip between nodes; past four the service
+// as a whole is full.
+const maxTries = 4
+
+// isFree reports whether the next node is asked at once and without drawing on
+// the retry budget. A drain says nothing of the load elsewhere. Where the route
+// bounds the backend servers that a request may reach, a refusal by an
+// admission point costs no backend server anything, so only requests that
+// reached one are retries.
+func (c Call) isFree(last Outcome) bool {
+	if c.MaxBackends > 0 {
+		return c.reached() == 0
+	}
+	return movesOn(last.Reason)
+}
+
+// movesOn reports whether the refusal means that the host must not be asked
+// again.
+func movesOn(reason verdict.Reason) bool {
 	return reason == verdict.Draining || reason == verdict.WrongHost
 }
 
+// reached is the number of attempts that a backend server may have seen.
+func (c Call) reached() int {
+	count := 0
+	for _, a := range c.Attempts {
+		if a.Outcome == nil || a.Outcome.Verdict != verdict.NotRun || a.Outcome.Reason == verdict.BackendShed {
+			count++
+		}
+	}
+	return count
+}
+
+// mayTryMore reports whether the bound on attempts leaves another one.
+func (c Call) mayTryMore() bool {
+	if c.MaxBackends > 0 {
+		return c.reached() < c.MaxBackends && len(c.Attempts) < maxTries
+	}
+	return c.retries() < c.Rule.Retries
+}
+
 // mayRetry reports whether another attempt is safe and allowed. It is safe
 // when no attempt can have run, or when the class may run more than once.
 func (c Call) mayRetry(last Outcome) bool {
 	safe := c.worst() == verdict.NotRun || c.Rule.Class.Idempotent()
-	return safe && last.Replayable && !last.Exhausted && c.retries() < c.Rule.Retries
+	return safe && last.Replayable && !last.Exhausted && c.mayTryMore()
 }
 
 // sendAgain makes another attempt. When there is no other backend server, one
 // that was tried may be asked again, unless it drains.
 func (c Call) sendAgain(now time.Time, w World, last Outcome) Call {
 	target, found := w.Pick(c.query(now, w), w.Candidates(c.Rule.Service))
-	if !found || isFree(last.Reason) && c.tried(target.Host) {
+	onlyOthers := c.MaxBackends > 0 || movesOn(last.Reason)
+	if !found || onlyOthers && c.tried(target.Host) {
 		return c.refuseAfter(last.Reason)
 	}
 	return c.attempt(Attempt{Target: target, Sent: now})
--- a/decide/choose/report.go
+++ b/decide/choose/report.go
@@ -114,6 +114,14 @@
 	return r
 }
 
+// Age is how long ago the load was reported; zero when it never was.
+func (r Report) Age(now time.Time) time.Duration {
+	if r.At.IsZero() {
+		return 0
+	}
+	return now.Sub(r.At)
+}
+
 // Closed reports whether the host asked not to be sent the class for now.
 func (r Report) Closed(now time.Time, c mesh.Class) bool {
 	return now.Before(r.closedUntil[c.Index()])
--- a/decide/route/route.go
+++ b/decide/route/route.go
@@ -19,9 +19,14 @@
 type Table struct {
 	// Version is the version it was compiled from.
 	Version mesh.Version
-	// Config is what it was compiled from.
+	// Config is what it was compiled from; empty for approved configuration.
 	Config mesh.Config
-	byHost Index
+	// Limits bounds what callers may send.
+	Limits mesh.CallerLimits
+	// Connections bounds the connections to a backend server of a service.
+	Connections map[mesh.ServiceName]int
+	byHost      Index
+	literal     literalIndex
 }
 
 // Compile checks the configuration and returns its table, or every fault.
@@ -32,6 +37,16 @@
 	return &Table{Version: v, Config: c, byHost: NewIndex(c)}, nil
 }
 
+// Admits reports whether the host may take requests of the service: the
+// inventory lists it, or there is no inventory and hosts register themselves.
+func (t *Table) Admits(id mesh.HostID, service mesh.ServiceName) bool {
+	if t.literal != nil {
+		return true
+	}
+	entry, listed := t.Config.Hosts[id]
+	return listed && entry.Service == service
+}
+
 // Index has the rules of a configuration by the normal form of their host name
 // and path prefix. It is immutable.
 type Index map[string]rulesByPath
@@ -50,12 +65,18 @@
 	return byHost
 }
 
-// Match returns the rule with the longest path prefix for the host name, which
-// may carry a port, and whether there is one. A prefix matches whole path
-// segments: /a matches /a and /a/b, not /ab. The path is matched in its normal
-// form, so that /status/../book is taken for /book.
-func (t *Table) Match(hostName, path string) (mesh.Rule, bool) {
-	return t.byHost[normalHostName(withoutPort(hostName))].longest(normalPath(path))
+// Match returns the route with the longest path prefix for the host name,
+// which may carry a port, and whether there is one. A rule's prefix matches
+// whole path segments: /a matches /a and /a/b, not /ab. The path is matched in
+// its normal form, so that /status/../book is taken for /book. The prefixes of
+// approved configuration match literally instead.
+func (t *Table) Match(hostName, path string) (mesh.Route, bool) {
+	name := normalHostName(withoutPort(hostName))
+	if t.literal != nil {
+		return t.literal[name].longest(path)
+	}
+	rule, found := t.byHost[name].longest(normalPath(path))
+	return mesh.RouteOf(rule), found
 }
 
 // longest returns the rule with the longest prefix of path.
--- a/encoding/hop/body.go
+++ b/encoding/hop/body.go
@@ -1,14 +1,18 @@
 package hop
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/marigoldshelf/marigoldshelf/verdict"
 )
 
 // copyBytes is the size of the buffers that bodies are copied through.
@@ -85,9 +89,42 @@
 	}
 }
 
-// Delimited reports whether the end of an answer's body can be told from a
+// shortAnswer is the size up to which an answer is read whole before it is
+// passed on, in bytes.
+const shortAnswer = 64 << 10
+
+// maxUndelimited bounds an answer that ends with its connection, in bytes.
+const maxUndelimited = 4 << 20
+
+// ReadShort reads a short body whole, and one whose length is not told: such a
+// body ends with its connection, and whether that was reset shows only at the
+// end. The error says that the body broke off or is too long to hold.
+func ReadShort(r *http.Response) *verdict.Error {
+	bound := int64(shortAnswer)
+	switch {
+	case r.ContentLength > shortAnswer || len(r.Trailer) > 0:
+		return nil
+	case !delimited(r):
+		bound = maxUndelimited
+	case r.ContentLength < 0:
+		return nil // chunks show their end
+	}
+	data, err := io.ReadAll(io.LimitReader(r.Body, bound+1))
+	if err != nil || int64(len(data)) > bound {
+		return verdict.New(verdict.MayHaveRun, verdict.ResponseTruncated, err)
+	}
+	_ = r.Body.Close() // its end was read
+	r.Body = io.NopCloser(bytes.NewReader(data))
+	r.ContentLength = int64(len(data))
+	if r.Request == nil || r.Request.Method != http.MethodHead {
+		r.Header.Set("Content-Length", strconv.Itoa(len(data)))
+	}
+	return nil
+}
+
+// delimited reports whether the end of an answer's body can be told from a
 // connection that broke: by its length, or by chunks.
-func Delimited(r *http.Response) bool {
+func delimited(r *http.Response) bool {
 	return r.ContentLength >= 0 || r.Body == http.NoBody || len(r.TransferEncoding) > 0 || r.Uncompressed
 }
 
--- a/encoding/hop/hop.go
+++ b/encoding/hop/hop.go
@@ -26,6 +26,10 @@
 	headerService    = prefix + "Service"
 	headerClass      = prefix + "Class"
 	headerVersion    = prefix + "Version"
+	headerPriority   = prefix + "Priority"
+	headerObjective  = prefix + "Objective-Ms"
+	headerOrigin     = prefix + "Origin"
+	headerCallerID   = prefix + "Caller-Id"
 	headerLoad       = prefix + "Load"
 	headerRetryAfter = prefix + "Retry-After-Ms"
 	// headerExhausted goes up the chain of calls with a failure that was
@@ -51,6 +55,16 @@
 	// Timeout is the time left, in whole milliseconds on the wire. It is
 	// relative because hosts' clocks differ.
 	Timeout time.Duration
+	// Priority is the route's; 0 goes first.
+	Priority int
+	// Objective is the time left until an answer is worth less to the caller;
+	// zero when nobody said or it has passed.
+	Objective time.Duration
+	// Origin is the service at whose host the request began; empty when the
+	// node does not know.
+	Origin mesh.ServiceName
+	// CallerID is the caller's own name for the request, for logs; may be empty.
+	CallerID string
 }
 
 // IsRequest reports whether an HTTP request carries a caller's request.
@@ -64,6 +78,18 @@
 	h.Set(headerClass, string(r.Class))
 	h.Set(headerVersion, strconv.FormatUint(uint64(r.Version), 10))
 	h.Set(HeaderTimeout, formatMillis(r.Timeout))
+	if r.Priority > 0 {
+		h.Set(headerPriority, strconv.Itoa(r.Priority))
+	}
+	if r.Objective > 0 {
+		h.Set(headerObjective, formatMillis(r.Objective))
+	}
+	if r.Origin != "" {
+		h.Set(headerOrigin, string(r.Origin))
+	}
+	if r.CallerID != "" {
+		h.Set(headerCallerID, r.CallerID)
+	}
 }
 
 // ReadRequest reads what Write wrote; a malformed header is an error.
@@ -77,19 +103,42 @@
 		return Request{}, err
 	}
 	r := Request{
-		ID:      h.Get(headerCall),
-		Target:  mesh.HostID(h.Get(headerTarget)),
-		Service: mesh.ServiceName(h.Get(headerService)),
-		Class:   mesh.Class(h.Get(headerClass)),
-		Version: mesh.Version(version),
-		Timeout: timeout,
+		ID:       h.Get(headerCall),
+		Target:   mesh.HostID(h.Get(headerTarget)),
+		Service:  mesh.ServiceName(h.Get(headerService)),
+		Class:    mesh.Class(h.Get(headerClass)),
+		Version:  mesh.Version(version),
+		Timeout:  timeout,
+		Origin:   mesh.ServiceName(h.Get(headerOrigin)),
+		CallerID: h.Get(headerCallerID),
 	}
+	if r.Priority, err = optionalInt(h, headerPriority); err != nil {
+		return Request{}, err
+	}
+	objective, err := optionalInt(h, headerObjective)
+	if err != nil {
+		return Request{}, err
+	}
+	r.Objective = time.Duration(objective) * time.Millisecond
 	if !r.Class.Valid() {
 		return Request{}, eris.Errorf("hop: unknown class %q", r.Class)
 	}
 	return r, nil
 }
 
+// optionalInt reads a header that is a whole number, zero when it is absent.
+func optionalInt(h http.Header, name string) (int, error) {
+	text := h.Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	number, err := strconv.Atoi(text)
+	if err != nil || number < 0 {
+		return 0, eris.Errorf("hop: bad %s %q", name, text)
+	}
+	return number, nil
+}
+
 // ReadTimeout reads the time left, zero when there is none in h. A value that
 // is no whole number of milliseconds, 1 to 3,600,000, is an error.
 func ReadTimeout(h http.Header) (time.Duration, error) {
--- a/front/caller/attempt.go
+++ b/front/caller/attempt.go
@@ -75,6 +75,7 @@
 		cancel()
 		h.Count(AttemptFailed, failure.Reason)
 		outcome.Verdict, outcome.Reason = failure.Verdict, failure.Reason
+		h.Record.AttemptFailed(c, attempt, outcome)
 	} else if !x.keep(attempt, answer) {
 		answer.Body.Close()
 		return false
@@ -121,13 +122,19 @@
 	if !x.body.whole {
 		request.Header.Set("Expect", "100-continue")
 	}
+	now := h.Clock.Now()
 	hop.Request{
 		ID:      c.Request.ID + "." + strconv.Itoa(attempt),
 		Target:  target.Host,
 		Service: c.Rule.Service,
 		Class:   c.Rule.Class,
 		Version: c.Version,
-		Timeout: max(c.Deadline.Sub(h.Clock.Now()), time.Millisecond),
+		Timeout: max(c.Deadline.Sub(now), time.Millisecond),
+
+		Priority:  c.Priority,
+		Objective: max(c.Objective.Sub(now), 0),
+		Origin:    h.Origin,
+		CallerID:  c.Request.CallerID,
 	}.Write(request.Header)
 	return request, nil
 }
--- a/front/caller/handler.go
+++ b/front/caller/handler.go
@@ -9,6 +9,8 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -35,17 +37,49 @@
 	// CheckSend says why a request must not be sent to a backend server now;
 	// nil when it may.
 	CheckSend func(*http.Request, mesh.Class) *verdict.Error
+	// Dialect is how callers word their requests.
+	Dialect hop.Dialect
+	// Origin is the service beside which the node runs, told to backend
+	// servers; empty tells them nothing.
+	Origin mesh.ServiceName
 	// Count is told the reason of each event.
 	Count func(event Event, reason verdict.Reason)
+	// Record is told each call that is over and each attempt that failed, for
+	// the log; nil for none.
+	Record Recorder
 	// Stopping reports whether the node stops: connections are then closed
 	// after the request that they carry.
 	Stopping func() bool
 }
 
+// Recorder writes what was decided on a request into the log. It must not
+// block.
+type Recorder interface {
+	// AttemptFailed is told an attempt that brought no answer.
+	AttemptFailed(c call.Call, attempt int, o call.Outcome)
+	// Refused is told a request that the node answers by itself.
+	Refused(c call.Call, now time.Time)
+	// Answered is told a request whose answer is passed on.
+	Answered(c call.Call, status int, now time.Time)
+	// Ended is told a request that ended with neither.
+	Ended(c call.Call, reason verdict.Reason, now time.Time)
+}
+
+// noRecorder drops everything.
+type noRecorder struct{}
+
+func (noRecorder) AttemptFailed(call.Call, int, call.Outcome) {}
+func (noRecorder) Refused(call.Call, time.Time)               {}
+func (noRecorder) Answered(call.Call, int, time.Time)         {}
+func (noRecorder) Ended(call.Call, verdict.Reason, time.Time) {}
+
 // Handler serves callers. It is safe for concurrent use.
 type Handler struct {
 	Config
 	open exchanges
+	// prefix and count make the IDs of requests, unique among all nodes.
+	prefix string
+	count  atomic.Uint64
 }
 
 // Event is what Config.Count counts.
@@ -61,9 +95,19 @@
 	Cut Event = "cut"
 )
 
+// idPrefixBytes is the length of the random part of the requests' IDs: 32 bits,
+// so that two of a thousand nodes share one less than once in 8,000 starts.
+const idPrefixBytes = 8
+
 // New returns a handler. Its hedges run on the workers of senders.
 func New(c Config, senders *controller.Pool) *Handler {
-	h := &Handler{Config: c}
+	if c.Dialect == nil {
+		c.Dialect = hop.Plain{}
+	}
+	if c.Record == nil {
+		c.Record = noRecorder{}
+	}
+	h := &Handler{Config: c, prefix: uuid.NewString()[:idPrefixBytes] + "-"}
 	handle := controller.Register(senders, "hedge", func(_ time.Time, id string) controller.Result {
 		h.hedge(id)
 		return controller.Result{}
@@ -91,7 +135,7 @@
 
 func (h *Handler) begin(w http.ResponseWriter, r *http.Request) (*exchange, *verdict.Error) {
 	now := h.Clock.Now()
-	timeout, err := hop.ReadTimeout(r.Header)
+	told, err := h.Dialect.ReadCaller(r.Header)
 	if err != nil {
 		return nil, verdict.New(verdict.NotRun, verdict.BadRequest, err)
 	}
@@ -100,10 +144,11 @@
 		return nil, failure
 	}
 	request := call.Request{
-		ID: uuid.NewString(), HostName: r.Host, Path: r.URL.Path, Arrived: now, Whole: b.whole,
+		ID: h.prefix + strconv.FormatUint(h.count.Add(1), 36), HostName: r.Host, Path: r.URL.Path,
+		Arrived: now, Whole: b.whole, CallerID: told.ID,
 	}
-	if timeout > 0 {
-		request.Deadline = now.Add(timeout)
+	if told.Timeout > 0 {
+		request.Deadline = now.Add(told.Timeout)
 	}
 	return &exchange{request: r, call: call.Call{Request: request}, body: b}, nil
 }
@@ -115,15 +160,17 @@
 		next, err := h.nextStep(x.request.Context(), x.call)
 		if err != nil {
 			h.Count(Refused, verdict.CallerGone)
+			h.Record.Ended(x.call, verdict.CallerGone, h.Clock.Now())
 			return
 		}
 		x.call = next
 		switch next.Step.Kind {
 		case call.Answer:
-			h.passOn(w, x.take(next.Step.Attempt))
+			h.passOn(w, x, x.take(next.Step.Attempt))
 			return
 		case call.Refuse:
 			x.cancel()
+			h.Record.Refused(next, h.Clock.Now())
 			h.refuse(w, next.Step)
 			return
 		}
@@ -153,17 +200,19 @@
 
 // passOn streams the backend server's answer to the caller. One that is cut
 // short ends the caller's connection, so that it cannot be taken for whole.
-func (h *Handler) passOn(w http.ResponseWriter, answer *http.Response) {
+func (h *Handler) passOn(w http.ResponseWriter, x *exchange, answer *http.Response) {
 	defer answer.Body.Close()
+	h.Record.Answered(x.call, answer.StatusCode, h.Clock.Now())
 	hop.CopyHeaders(w.Header(), answer.Header)
 	hop.CopyExhausted(w.Header(), answer.Header)
-	w.Header().Set(hop.HeaderVerdict, verdict.Ran.String())
+	h.Dialect.Answer(w.Header())
 	if h.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	w.WriteHeader(answer.StatusCode)
 	if err := hop.CopyAnswer(w, answer, h.Idle); err != nil {
 		h.Count(Cut, verdict.ResponseTruncated)
+		h.Record.Ended(x.call, verdict.ResponseTruncated, h.Clock.Now())
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/front/caller/refuse.go
+++ b/front/caller/refuse.go
@@ -9,5 +9,5 @@
 
 func (h *Handler) refuse(w http.ResponseWriter, s call.Step) {
 	h.Count(Refused, s.Refusal.Reason)
-	hop.Refusal{Error: s.Refusal, RetryAfter: s.RetryAfter, Exhausted: s.Exhausted}.Send(w)
+	h.Dialect.Refuse(w, hop.Refusal{Error: s.Refusal, RetryAfter: s.RetryAfter, Exhausted: s.Exhausted})
 }
--- a/front/keyed/keyed.go
+++ b/front/keyed/keyed.go
@@ -82,8 +82,8 @@
 	if r.Header.Get(headerKey) == "" || routes == nil {
 		return mesh.Rule{}, false
 	}
-	rule, found := routes.Match(r.Host, r.URL.Path)
-	return rule, found && idempotency.Applies(rule.Class)
+	matched, found := routes.Match(r.Host, r.URL.Path)
+	return matched.Rule, found && idempotency.Applies(matched.Class)
 }
 
 // begin makes the claim. It reads the body, and puts it back for Next.
--- a/front/peer/handler.go
+++ b/front/peer/handler.go
@@ -30,9 +30,13 @@
 	Service mesh.ServiceName
 	// Backend is the IP and port of the own backend server.
 	Backend string
-	// NotRunHeader is the header by which the backend server's own answer 429
-	// or 503 promises that the request was not run; empty for none.
-	NotRunHeader string
+	// Dialect is how the backend server words requests and answers.
+	Dialect hop.Dialect
+	// Instance names the backend server that runs now; nil for any.
+	Instance func() string
+	// Report is told how each sending to the backend server ended; nil for
+	// nobody.
+	Report func(Sending)
 	// Transport carries requests to the backend server; it bounds the
 	// connections.
 	Transport http.RoundTripper
@@ -41,6 +45,16 @@
 	Idle time.Duration
 	// Count is told the reason of each refusal and failure.
 	Count func(reason verdict.Reason)
+	// Record is told each decision on a forwarded request; nil for nobody.
+	Record func(hop.Request, admit.Request, *verdict.Error)
+}
+
+// Sending is how one request fared at the backend server.
+type Sending struct {
+	// Instance is the backend server that was meant.
+	Instance string
+	// Failure is nil when there was an answer.
+	Failure *verdict.Error
 }
 
 // ServeHTTP answers one forwarded request.
@@ -66,23 +80,38 @@
 	defer cancel()
 	row, err := h.awaitGrant(ctx, request.ID)
 	if err != nil {
-		h.refuse(w, verdict.New(verdict.NotRun, verdict.DeadlineExceeded, err), 0)
+		h.fail(w, request, row, verdict.New(verdict.NotRun, verdict.DeadlineExceeded, err))
 		return
 	}
 	if row.State == admit.Refused {
+		h.record(request, row, verdict.New(verdict.NotRun, row.Reason, nil))
 		h.refuse(w, verdict.New(verdict.NotRun, row.Reason, nil), row.RetryAfter)
 		return
 	}
-	response, failure := h.send(ctx, w, r, row.Deadline)
+	response, failure := h.send(ctx, w, r, request, row.Deadline)
 	stop()
 	if failure != nil {
-		h.refuse(w, failure, 0)
+		x.shed = failure.Reason == verdict.BackendShed
+		h.fail(w, request, row, failure)
 		return
 	}
 	defer response.Body.Close()
+	h.record(request, row, nil)
 	h.answer(w, x, response)
 }
 
+// fail refuses a request that was admitted or waited, and records it.
+func (h *Handler) fail(w http.ResponseWriter, request hop.Request, row admit.Request, failure *verdict.Error) {
+	h.record(request, row, failure)
+	h.refuse(w, failure, 0)
+}
+
+func (h *Handler) record(request hop.Request, row admit.Request, failure *verdict.Error) {
+	if h.Record != nil {
+		h.Record(request, row, failure)
+	}
+}
+
 // exchange is one request at the admission point, and how it ended.
 type exchange struct {
 	id          string
@@ -94,7 +123,11 @@
 func (h *Handler) enter(r hop.Request) (entered bool) {
 	now := h.Clock.Now()
 	row := admit.Request{
-		ID: r.ID, Class: r.Class, Arrived: now, Deadline: now.Add(r.Timeout), State: admit.Waiting,
+		ID: r.ID, Class: r.Class, Priority: r.Priority, Arrived: now, Deadline: now.Add(r.Timeout),
+		State: admit.Waiting,
+	}
+	if r.Objective > 0 {
+		row.Objective = now.Add(r.Objective)
 	}
 	t := h.Tables
 	t.Board.Do(func(tx *blackboard.Tx) {
@@ -123,8 +156,32 @@
 	})
 }
 
-// send passes the request to the backend server.
-func (h *Handler) send(ctx context.Context, w http.ResponseWriter, r *http.Request, deadline time.Time) (*http.Response, *verdict.Error) {
+// send passes the request to the backend server and returns its answer, with a
+// short body whole.
+func (h *Handler) send(ctx context.Context, w http.ResponseWriter, r *http.Request, told hop.Request, deadline time.Time) (*http.Response, *verdict.Error) {
+	instance := ""
+	if h.Instance != nil {
+		instance = h.Instance()
+	}
+	request, failure := h.backendRequest(ctx, w, r, hop.BackendRequest{
+		Timeout:  max(deadline.Sub(h.Clock.Now()), time.Millisecond),
+		Instance: instance,
+		Origin:   told.Origin,
+	})
+	if failure != nil {
+		return nil, failure
+	}
+	response, failure := hop.Send(h.Transport, request)
+	if failure == nil {
+		failure = h.judge(response, request)
+	}
+	if h.Report != nil {
+		h.Report(Sending{Instance: instance, Failure: failure})
+	}
+	return response, failure
+}
+
+func (h *Handler) backendRequest(ctx context.Context, w http.ResponseWriter, r *http.Request, told hop.BackendRequest) (*http.Request, *verdict.Error) {
 	address := *r.URL
 	address.Scheme = "http"
 	address.Host = h.Backend
@@ -134,29 +191,43 @@
 	}
 	hop.CopyHeaders(request.Header, r.Header)
 	request.Header.Del("Expect")
-	hop.WriteTimeout(request.Header, max(deadline.Sub(h.Clock.Now()), time.Millisecond))
+	h.Dialect.WriteBackend(request.Header, told)
 	request.Host = r.Host
 	request.Body = hop.SingleUse{ReadCloser: io.NopCloser(hop.NewPatientBody(w, r, h.Idle))}
 	request.ContentLength = r.ContentLength
 	request.Trailer = hop.Trailers(r)
-	return hop.Send(h.Transport, request)
+	return request, nil
+}
+
+// judge says what an answer means, and reads a short body whole: one that
+// breaks off is a failure then, which may be retried. The failure closes the
+// answer.
+func (h *Handler) judge(response *http.Response, request *http.Request) *verdict.Error {
+	failure := h.wordFailure(response, request)
+	if failure == nil {
+		failure = hop.ReadShort(response)
+	}
+	if failure != nil {
+		_ = response.Body.Close() // the failure says more
+	}
+	return failure
+}
+
+func (h *Handler) wordFailure(response *http.Response, request *http.Request) *verdict.Error {
+	switch h.Dialect.ReadBackend(response, request) {
+	case hop.Shed:
+		return verdict.New(verdict.NotRun, verdict.BackendShed, nil)
+	case hop.OtherInstance:
+		return verdict.New(verdict.NotRun, verdict.WrongHost, nil)
+	case hop.Foreign, hop.Unproven:
+		return verdict.New(verdict.MayHaveRun, verdict.TransportFailed, nil)
+	}
+	return nil
 }
 
 // answer passes the backend server's answer on. One that is cut short ends the
 // connection, so that it cannot be taken for whole.
 func (h *Handler) answer(w http.ResponseWriter, x *exchange, response *http.Response) {
-	if h.shedUnrun(response) {
-		x.shed = true
-		answer := hop.Answer{Verdict: verdict.NotRun, Reason: verdict.BackendShed, Load: h.load(), Exhausted: hop.Exhausted(response.Header)}
-		h.Count(verdict.BackendShed)
-		answer.Write(w.Header())
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	if !hop.Delimited(response) {
-		h.refuse(w, verdict.New(verdict.MayHaveRun, verdict.ResponseTruncated, nil), 0)
-		return
-	}
 	hop.CopyHeaders(w.Header(), response.Header)
 	answer := hop.Answer{Verdict: verdict.Ran, Load: h.load(), Exhausted: hop.Exhausted(response.Header)}
 	answer.Write(w.Header())
@@ -168,15 +239,6 @@
 	x.whole = true
 }
 
-// shedUnrun reports whether the backend server refused by itself and promises
-// that it did not run the request.
-func (h *Handler) shedUnrun(r *http.Response) bool {
-	if r.StatusCode != http.StatusServiceUnavailable && r.StatusCode != http.StatusTooManyRequests {
-		return false
-	}
-	return h.NotRunHeader != "" && r.Header.Get(h.NotRunHeader) != ""
-}
-
 func (h *Handler) refuse(w http.ResponseWriter, e *verdict.Error, retryAfter time.Duration) {
 	h.Count(e.Reason)
 	answer := hop.Answer{Verdict: e.Verdict, Reason: e.Reason, Load: h.load(), RetryAfter: retryAfter}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -71,6 +71,15 @@
 // Add adds n to a counter without a reason, such as bytes sent.
 func (m *Metrics) Add(name string, n int64) { m.scope.Counter(name).Inc(n) }
 
+// latencyBuckets are the bounds of the latency histograms: 1 ms to 8 s, each
+// twice the one before, so that any latency is known within a factor of two.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
+
+// Observe adds a latency to the histogram of a name and class.
+func (m *Metrics) Observe(name, class string, took time.Duration) {
+	m.scope.Tagged(map[string]string{"class": class}).Histogram(name, latencyBuckets).RecordDuration(took)
+}
+
 // Set sets a gauge.
 func (m *Metrics) Set(name string, value float64) { m.scope.Gauge(name).Update(value) }
 
--- a/network/network.go
+++ b/network/network.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"syscall"
 
 	"github.com/rotisserie/eris"
 )
@@ -36,8 +37,16 @@
 	return c, eris.Wrap(err, "network: listen for datagrams")
 }
 
-// DialContext implements Network.
+// DialContext implements Network. A connection whose other end falls silent
+// breaks after silenceLimit with bytes unacknowledged, and a resting one after
+// its keep-alive probes: neither would show otherwise until the kernel gives up
+// after minutes.
 func (System) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	var dialer net.Dialer
+	dialer := net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+		},
+		Control: func(_, _ string, c syscall.RawConn) error { return limitSilence(c) },
+	}
 	return dialer.DialContext(ctx, network, address)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -17,8 +18,11 @@
 	"github.com/marigoldshelf/marigoldshelf/clock"
 	"github.com/marigoldshelf/marigoldshelf/controller"
 	"github.com/marigoldshelf/marigoldshelf/decide/drain"
+	"github.com/marigoldshelf/marigoldshelf/encoding/hop"
 	"github.com/marigoldshelf/marigoldshelf/eventlog"
 	"github.com/marigoldshelf/marigoldshelf/front/operator"
+	"github.com/marigoldshelf/marigoldshelf/front/pipeline"
+	desk "github.com/marigoldshelf/marigoldshelf/front/registration"
 	"github.com/marigoldshelf/marigoldshelf/logs"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/metrics"
@@ -49,6 +53,13 @@
 	MetricsPage http.Handler
 	// Logger takes the node's log; nil for none.
 	Logger *logs.Logger
+	// Events takes the lines about decisions; nil for none.
+	Events *logs.Events
+	// LogBuffer is what Events writes to, if the node is to flush it.
+	LogBuffer *logs.Bounded
+	// Adapter lets the node run on a platform; nil for the node's own change
+	// log and settings.
+	Adapter Adapter
 }
 
 // Node is one process of the system. Make it with New, then call Run.
@@ -63,12 +74,18 @@
 	listeners listeners
 	// transports are those whose idle connections end with the node.
 	transports []*http.Transport
+	// pools are the same towards the own backend server.
+	pools  []*hop.Pool
+	desk   *desk.Desk
+	record recorder
 }
 
 // listeners are the node's open ports.
 type listeners struct {
 	callers, peers, operators net.Listener
 	probes                    net.PacketConn
+	// readiness and reports are open on a platform only.
+	readiness, reports net.Listener
 }
 
 // New opens the node's ports and puts its parts together.
@@ -85,6 +102,7 @@
 
 		sendPool: controller.New(o.Clock, sendWorkers),
 	}
+	n.record = recorder{events: o.Events, metrics: o.Metrics}
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
@@ -130,15 +148,27 @@
 	if n.listeners.operators, err = n.options.Network.Listen(l.Operators); err != nil {
 		return eris.Wrap(err, "listen for operators")
 	}
+	if n.options.Adapter != nil {
+		if n.listeners.readiness, err = n.options.Network.Listen(l.Readiness); err != nil {
+			return eris.Wrap(err, "listen for readiness")
+		}
+		if n.listeners.reports, err = n.options.Network.Listen(l.Reports); err != nil {
+			return eris.Wrap(err, "listen for reports")
+		}
+	}
 	n.listeners.probes, err = n.options.Network.ListenPacket(l.Probes)
 	return eris.Wrap(err, "listen for probes")
 }
 
 // registerControllers puts the controllers of each area on the pool.
 func (n *Node) registerControllers() {
-	n.registerConfig()
 	n.registerTraffic()
-	n.registerKeys()
+	if n.options.Adapter != nil {
+		n.registerAdapter()
+	} else {
+		n.registerConfig()
+		n.registerKeys()
+	}
 	n.registerObserve()
 	n.registerFleet()
 }
@@ -150,7 +180,11 @@
 	n.registerIO(work)
 	front := n.probeFront()
 	front.RegisterSender(n.ioPool)
-	n.registerKeyIO(work)
+	if n.options.Adapter != nil {
+		n.registerAdapterIO(work)
+	} else {
+		n.registerKeyIO(work)
+	}
 	servers, err := n.servers()
 	if err != nil {
 		return err
@@ -171,7 +205,9 @@
 	if err := n.drain(work); err != nil {
 		return err
 	}
-	n.distribution().Release()
+	if n.options.Adapter == nil {
+		n.distribution().Release()
+	}
 	return shutdown(servers)
 }
 
@@ -190,16 +226,22 @@
 	for _, t := range n.transports {
 		t.CloseIdleConnections()
 	}
+	for _, p := range n.pools {
+		p.CloseIdleConnections()
+	}
 }
 
 // server is one front end on its listener.
 type server struct {
-	http     *http.Server
 	listener net.Listener
+	front    interface {
+		Serve(net.Listener) error
+		Shutdown(context.Context) error
+	}
 }
 
 // run serves until shutdown; the error it ends with then says nothing.
-func (s server) run() { _ = s.http.Serve(s.listener) }
+func (s server) run() { _ = s.front.Serve(s.listener) }
 
 const (
 	headerTimeout  = 10 * time.Second
@@ -207,7 +249,7 @@
 )
 
 func newServer(l net.Listener, h http.Handler) server {
-	return server{listener: l, http: &http.Server{
+	return server{listener: l, front: &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}}
 }
@@ -221,20 +263,40 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "operators' API")
 	}
-	return []server{
-		newServer(n.listeners.callers, n.keyedHandler(n.callerHandler())),
+	servers := []server{
 		newServer(n.listeners.peers, n.peerMux()),
 		newServer(n.listeners.operators, n.operatorMux(operators)),
-	}, nil
+	}
+	if n.options.Adapter == nil {
+		return append(servers, newServer(n.listeners.callers, n.keyedHandler(n.callerHandler()))), nil
+	}
+	return append(servers,
+		server{listener: n.listeners.callers, front: pipeline.New(n.callerHandler(), n.callerLimits)},
+		newServer(n.listeners.readiness, n.options.Adapter.Readiness(n.unready)),
+		newServer(n.listeners.reports, n.options.Adapter.Reports(n.takeReport, n.record.reportRejected)),
+	), nil
+}
+
+// callerLimits are those of the configuration in force.
+func (n *Node) callerLimits() pipeline.Limits {
+	limits := pipeline.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout}
+	if routes := n.tables.Routes.Load(); routes != nil && routes.Limits.HeaderBytes > 0 {
+		limits.HeaderBytes = routes.Limits.HeaderBytes
+		limits.HeaderTimeout = routes.Limits.HeaderTimeout
+		limits.IdleTimeout = routes.Limits.IdleTimeout
+	}
+	return limits
 }
 
+// shutdown ends the servers together: each lets its requests end.
 func shutdown(servers []server) error {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	for _, s := range servers {
-		if err := s.http.Shutdown(ctx); err != nil {
-			return eris.Wrap(err, "stop")
-		}
+	var group sync.WaitGroup
+	failures := make([]error, len(servers))
+	for i, s := range servers {
+		group.Go(func() { failures[i] = s.front.Shutdown(ctx) })
 	}
-	return nil
+	group.Wait()
+	return eris.Wrap(errors.Join(failures...), "stop")
 }
--- a/node/observe.go
+++ b/node/observe.go
@@ -2,9 +2,14 @@
 
 import (
 	"net/http"
+	"time"
 
+	"github.com/marigoldshelf/marigoldshelf/blackboard"
+	"github.com/marigoldshelf/marigoldshelf/controller"
 	"github.com/marigoldshelf/marigoldshelf/controllers/journal"
 	"github.com/marigoldshelf/marigoldshelf/controllers/report"
+	"github.com/marigoldshelf/marigoldshelf/logs"
+	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/outbox"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 )
@@ -13,6 +18,16 @@
 // I/O workers' duty of writing the log.
 func (n *Node) registerObserve() {
 	report.Register(n.pool, n.tables, n.options.Metrics)
+	if n.options.Events != nil {
+		n.tables.Members.Watch(n.recordMember)
+	}
+	if buffer := n.options.LogBuffer; buffer != nil {
+		flush := controller.Register(n.ioPool, "flush log", func(time.Time, int) controller.Result {
+			n.flush(buffer)
+			return controller.Result{}
+		})
+		buffer.OnPending(func() { flush.Add(0) })
+	}
 	if n.options.Logger == nil {
 		return
 	}
@@ -20,6 +35,25 @@
 	outbox.Drain(n.ioPool, n.tables.Board, "write log", n.tables.Lines, n.writeLine)
 }
 
+// recordMember writes what the node now believes of another one.
+func (n *Node) recordMember(id mesh.HostID) {
+	var member mesh.Member
+	var found bool
+	n.tables.Board.Do(func(tx *blackboard.Tx) { member, found = n.tables.Members.Get(tx, id) }, n.tables.Members.Read())
+	n.record.member(member, found)
+}
+
+// flush writes the lines that wait. A reader that stalls holds one worker.
+func (n *Node) flush(buffer *logs.Bounded) {
+	dropped, err := buffer.Flush()
+	if dropped > 0 {
+		n.options.Metrics.Add("log_lines_dropped", int64(dropped))
+	}
+	if err != nil {
+		n.options.Metrics.Add("log_write_failed", 1)
+	}
+}
+
 func (n *Node) writeLine(_ string, line tables.Line) {
 	part := n.options.Logger.Part(line.Part)
 	if line.Warning {
@@ -47,7 +81,11 @@
 	if n.tables.Routes.Load() == nil {
 		return "no configuration is in force"
 	}
-	if n.tables.Drain.Load().Draining {
+	state := n.tables.Drain.Load()
+	if state.Stopping {
+		return "stopping"
+	}
+	if state.Draining && n.options.Adapter == nil {
 		return "draining"
 	}
 	return ""
--- /dev/null
+++ b/node/record.go
@@ -0,0 +1,189 @@
+package node
+
+import (
+	"strings"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/marigoldshelf/marigoldshelf/decide/admit"
+	"github.com/marigoldshelf/marigoldshelf/decide/call"
+	"github.com/marigoldshelf/marigoldshelf/decide/registration"
+	"github.com/marigoldshelf/marigoldshelf/decide/route"
+	"github.com/marigoldshelf/marigoldshelf/encoding/hop"
+	"github.com/marigoldshelf/marigoldshelf/logs"
+	"github.com/marigoldshelf/marigoldshelf/mesh"
+	"github.com/marigoldshelf/marigoldshelf/metrics"
+	"github.com/marigoldshelf/marigoldshelf/tables"
+	"github.com/marigoldshelf/marigoldshelf/verdict"
+)
+
+// The parts of the node that lines are about.
+const (
+	partCall     = "call"     // a caller's request, at the node that took it
+	partAdmit    = "admit"    // a request at the admission point
+	partBackend  = "backend"  // the own backend server
+	partConfig   = "config"   // the configuration in force
+	partSource   = "source"   // where configuration comes from
+	partMember   = "member"   // another node
+	partProcess  = "process"  // this process
+	partSettings = "settings" // the settings file
+)
+
+// recorder writes what the node decides and believes into the log.
+type recorder struct {
+	events  *logs.Events
+	metrics *metrics.Metrics
+}
+
+// callFields adds what every line about a caller's request has.
+func callFields(e *log.Entry, c call.Call, now time.Time) *log.Entry {
+	return e.Str("request", c.Request.CallerID).Str("id", c.Request.ID).
+		Str("route", c.Rule.ID).Uint64("version", uint64(c.Version)).Str("service", string(c.Rule.Service)).
+		Int64("took_ms", now.Sub(c.Request.Arrived).Milliseconds())
+}
+
+// AttemptFailed implements caller.Recorder.
+func (r recorder) AttemptFailed(c call.Call, attempt int, o call.Outcome) {
+	e := r.events.Line(logs.Failure, partCall)
+	if e == nil {
+		return
+	}
+	a := c.Attempts[attempt]
+	now := a.Sent.Add(o.Took)
+	candidate := a.Target
+	callFields(e, c, now).Int("attempt", attempt).Str("host", string(candidate.Host)).
+		Str("zone", string(candidate.Zone)).Int("in_flight", candidate.InFlight.Count).
+		Int("load_busy", candidate.Report.Load.Busy).Int("load_queued", candidate.Report.Load.Queued).
+		Int64("load_age_ms", candidate.Report.Age(a.Sent).Milliseconds()).
+		Str("verdict", o.Verdict.String()).Str("reason", string(o.Reason)).Msg("attempt failed")
+}
+
+// Refused implements caller.Recorder.
+func (r recorder) Refused(c call.Call, now time.Time) {
+	if c.Step.Refusal.Reason == verdict.NoRoute && c.Version == 0 {
+		c.Rule.ID = c.Request.HostName + c.Request.Path
+	}
+	if e := r.events.Line(logs.Failure, partCall); e != nil {
+		callFields(e, c, now).Int("attempts", len(c.Attempts)).Str("verdict", c.Step.Refusal.Verdict.String()).
+			Str("reason", string(c.Step.Refusal.Reason)).Int64("retry_after_ms", c.Step.RetryAfter.Milliseconds()).
+			Int64("deadline_in_ms", c.Deadline.Sub(now).Milliseconds()).Msg("refused")
+	}
+}
+
+// Answered implements caller.Recorder.
+func (r recorder) Answered(c call.Call, status int, now time.Time) {
+	r.metrics.Observe("call_seconds", string(c.Rule.Class), now.Sub(c.Request.Arrived))
+	kind := logs.Routine
+	if late := !c.Objective.IsZero() && now.After(c.Objective); late || status >= 500 || len(c.Attempts) > 1 {
+		kind = logs.Failure
+	}
+	if e := r.events.Line(kind, partCall); e != nil {
+		last := c.Attempts[c.Step.Attempt]
+		callFields(e, c, now).Int("attempts", len(c.Attempts)).Str("host", string(last.Target.Host)).
+			Int("status", status).Msg("answered")
+	}
+}
+
+// Ended implements caller.Recorder.
+func (r recorder) Ended(c call.Call, reason verdict.Reason, now time.Time) {
+	if e := r.events.Line(logs.Failure, partCall); e != nil {
+		callFields(e, c, now).Int("attempts", len(c.Attempts)).Str("reason", string(reason)).Msg("ended without an answer")
+	}
+}
+
+// admitted records what became of a request at the admission point.
+func (r recorder) admitted(request hop.Request, row admit.Request, load mesh.Load, failure *verdict.Error) {
+	kind, outcome := logs.Routine, "passed on"
+	if failure != nil {
+		kind, outcome = logs.Failure, "not answered"
+	}
+	e := r.events.Line(kind, partAdmit)
+	if e == nil {
+		return
+	}
+	e.Str("request", request.CallerID).Str("id", request.ID).Str("class", string(request.Class)).
+		Int("priority", request.Priority).Int64("timeout_ms", request.Timeout.Milliseconds()).
+		Int("slots", load.Slots).Int("busy", load.Busy).Int("queued", load.Queued)
+	if !row.Granted.IsZero() {
+		e.Int64("waited_ms", row.Granted.Sub(row.Arrived).Milliseconds())
+	}
+	if failure != nil {
+		e.Str("verdict", failure.Verdict.String()).Str("reason", string(failure.Reason)).
+			Int64("retry_after_ms", row.RetryAfter.Milliseconds())
+		if cause := failure.Unwrap(); cause != nil {
+			e.Str("cause", cause.Error())
+		}
+	}
+	e.Msg(outcome)
+}
+
+func (r recorder) backendChanged(from, to registration.Backend, cause string) {
+	if e := r.events.Line(logs.Belief, partBackend); e != nil {
+		e.Str("instance", to.Instance).Str("was", from.Instance).Str("phase", to.Phase.String()).
+			Str("phase_was", from.Phase.String()).Int("slots", to.Slots).Uint64("sequence", to.Sequence).
+			Int64("born", to.Born).Int("failures", to.Failures).Str("cause", cause).Msg("backend server changed")
+	}
+}
+
+func (r recorder) reportDropped(told registration.Report, v registration.Verdict) {
+	if e := r.events.Line(logs.Belief, partBackend); e != nil {
+		e.Str("instance", told.Instance).Uint64("sequence", told.Sequence).Int64("born", told.Born).
+			Str("address", told.Address).Str("verdict", v.String()).Msg("report does not count")
+	}
+}
+
+func (r recorder) reportRejected(instance string, cause error) {
+	if e := r.events.Line(logs.Belief, partBackend); e != nil {
+		e.Str("instance", instance).Str("cause", cause.Error()).Msg("report cannot be read")
+	}
+}
+
+func (r recorder) configTaken(d tables.Document, was mesh.Version) {
+	if e := r.events.Line(logs.Belief, partConfig); e != nil {
+		e.Uint64("version", uint64(d.Version)).Uint64("was", uint64(was)).Int("routes", len(d.Config.Routes)).
+			Str("from", d.From).Msg("configuration in force")
+	}
+}
+
+func (r recorder) configRejected(d tables.Document, f route.Faults) {
+	if e := r.events.Line(logs.Belief, partConfig); e != nil {
+		e.Uint64("version", uint64(d.Version)).Str("from", d.From).Int("faults", len(f)).
+			Str("first", f[0].Where+": "+f[0].What).Msg("configuration rejected")
+	}
+}
+
+func (r recorder) sourceReached(source string, failures int, err error) {
+	e := r.events.Line(logs.Belief, partSource)
+	switch {
+	case e == nil:
+	case err != nil:
+		e.Str("source", source).Str("cause", firstLine(err)).Msg("source lost")
+	default:
+		e.Str("source", source).Int("failures", failures).Msg("source regained")
+	}
+}
+
+func (r recorder) member(m mesh.Member, found bool) {
+	if e := r.events.Line(logs.Belief, partMember); e != nil {
+		state := "forgotten"
+		if found {
+			state = m.State.String()
+		}
+		e.Str("host", string(m.Host)).Str("zone", string(m.Zone)).Str("service", string(m.Service)).
+			Str("state", state).Uint64("incarnation", uint64(m.Incarnation)).Msg("member changed")
+	}
+}
+
+func (r recorder) process(sentence string) {
+	if e := r.events.Line(logs.Belief, partProcess); e != nil {
+		e.Msg(sentence)
+	}
+}
+
+// firstLine returns an error's text up to its first line break: traces of the
+// stack follow it.
+func firstLine(err error) string {
+	line, _, _ := strings.Cut(err.Error(), "\n")
+	return line
+}
--- a/node/traffic.go
+++ b/node/traffic.go
@@ -9,6 +9,7 @@
 	"github.com/marigoldshelf/marigoldshelf/controllers/stop"
 	"github.com/marigoldshelf/marigoldshelf/decide/admit"
 	"github.com/marigoldshelf/marigoldshelf/encoding/hop"
+	"github.com/marigoldshelf/marigoldshelf/front/approved"
 	"github.com/marigoldshelf/marigoldshelf/front/caller"
 	"github.com/marigoldshelf/marigoldshelf/front/keyed"
 	"github.com/marigoldshelf/marigoldshelf/front/peer"
@@ -26,7 +27,9 @@
 func (n *Node) registerTraffic() {
 	t := n.tables
 	backend := n.options.Settings.Backend
-	admission.Start(t, n.options.Clock.Now(), admit.Limits{Slots: backend.Slots, Queue: *backend.Queue})
+	if n.options.Adapter == nil {
+		admission.Start(t, n.options.Clock.Now(), admit.Limits{Slots: backend.Slots, Queue: *backend.Queue})
+	}
 	admission.Register(n.pool, t)
 	stop.Register(n.pool, t, n.options.Settings.Traffic.StopLimit())
 	calls.Register(n.pool, t, calls.Config{
@@ -51,6 +54,9 @@
 		Peers:     n.transport(0),
 		CheckSend: keyed.CheckSend,
 		Idle:      n.options.Settings.Traffic.BodyIdle(),
+		Dialect:   n.dialect(),
+		Origin:    n.self.Service,
+		Record:    n.record,
 		Count: func(event caller.Event, reason verdict.Reason) {
 			n.options.Metrics.Count(string(event), reason)
 		},
@@ -62,7 +68,11 @@
 // forward, and the nodes' control calls under /twirp/.
 func (n *Node) peerMux() http.Handler {
 	mux := http.NewServeMux()
-	n.registerControl(mux)
+	if n.options.Adapter == nil {
+		n.registerControl(mux)
+	} else {
+		mux.Handle(approved.Path, approved.Handler{Document: n.tables.Document})
+	}
 	calls := n.peerHandler()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if hop.IsRequest(r.Header) {
@@ -75,17 +85,25 @@
 
 func (n *Node) peerHandler() http.Handler {
 	backend := n.options.Settings.Backend
-	return &peer.Handler{
+	h := &peer.Handler{
 		Tables:    n.tables,
 		Clock:     n.options.Clock,
 		Host:      n.self.Host,
 		Service:   n.self.Service,
 		Backend:   backend.Address,
-		Transport: n.transport(backend.Connections),
+		Transport: n.backendTransport(),
 		Idle:      n.options.Settings.Traffic.BodyIdle(),
 
-		NotRunHeader: backend.NotRunHeader,
+		Dialect: n.dialect(),
 
 		Count: func(reason verdict.Reason) { n.options.Metrics.Count(notAdmitted, reason) },
+		Record: func(request hop.Request, row admit.Request, failure *verdict.Error) {
+			n.record.admitted(request, row, n.tables.Occupancy.Load(), failure)
+		},
+	}
+	if n.options.Adapter != nil {
+		h.Instance = n.backendInstance
+		h.Report = func(s peer.Sending) { n.sent(s.Instance, s.Failure) }
 	}
+	return h
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -53,6 +53,11 @@
 	// Probes is for the datagrams (UDP) of membership; it must be reachable
 	// from other nodes. Default the address and port of Peers.
 	Probes string `json:"probes,omitempty"`
+	// Readiness is where the platform asks whether the node may get callers,
+	// Reports where the own backend server reports itself. Required with
+	// platform.kind "store", not allowed otherwise.
+	Readiness string `json:"readiness,omitempty"`
+	Reports   string `json:"reports,omitempty"`
 }
 
 // Peers says how nodes find and trust each other.
@@ -95,8 +100,33 @@
 	// before it tells the operator, in milliseconds, 1,000 to 86,400,000.
 	// Default 600,000.
 	StopLimitMillis int `json:"stop_limit_ms"`
+	// RetryRatio is the part of the requests for a service that all nodes
+	// together may send to a second backend server, 0 to 1, and RetryExtra the
+	// number that they may send beyond it. Both zero: each node goes by a
+	// budget of its own.
+	RetryRatio float64 `json:"retry_ratio,omitempty"`
+	RetryExtra int     `json:"retry_extra,omitempty"`
+	// StopWithin is how long after the signal to stop the process is killed;
+	// zero for never.
+	StopWithin Duration `json:"stop_within,omitzero"`
 }
 
+// Duration is a length of time written as a number and its unit, "1500ms".
+type Duration time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return eris.Wrap(err, "duration")
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
 // BodyIdle is the longest pause between the bytes of a body.
 func (t Traffic) BodyIdle() time.Duration { return time.Duration(t.BodyIdleMillis) * time.Millisecond }
 
@@ -105,8 +135,19 @@
 	return time.Duration(t.StopLimitMillis) * time.Millisecond
 }
 
+// The kinds of platform.
+const (
+	// LogPlatform has an append-only log; the node keeps changes and approvals.
+	LogPlatform = "log"
+	// StorePlatform has a store with approved configuration, and backend
+	// servers that report themselves.
+	StorePlatform = "store"
+)
+
 // Platform says where the platform's log service is.
 type Platform struct {
+	// Kind is "log" or "store". Default "log".
+	Kind string `json:"kind,omitempty"`
 	// URL is its address, such as "http://10.0.0.5:7000". Required.
 	URL string `json:"url"`
 }
@@ -156,6 +197,7 @@
 	maxBodyIdle        = 600_000
 	minStopLimit       = 1_000
 	maxStopLimit       = 86_400_000
+	maxStopWithin      = 24 * time.Hour
 	minTokenLength     = 16
 	// maxNameLength keeps the news of a member within a datagram.
 	maxNameLength = 64
@@ -201,6 +243,9 @@
 	if s.Listen.Probes == "" {
 		s.Listen.Probes = s.Listen.Peers
 	}
+	if s.Platform.Kind == "" {
+		s.Platform.Kind = LogPlatform
+	}
 	if s.Backend.Connections == 0 {
 		s.Backend.Connections = defaultConnections
 	}
@@ -231,12 +276,19 @@
 	c.peers(s.Peers)
 	c.text("backend.service", string(s.Backend.Service))
 	c.address("backend.address", s.Backend.Address)
-	c.between("backend.slots", s.Backend.Slots, 1, maxSlots)
+	c.platform(s)
 	c.between("backend.connections", s.Backend.Connections, 1, maxCount)
 	c.between("backend.queue", *s.Backend.Queue, 0, maxCount)
 	c.url("platform.url", s.Platform.URL)
 	c.between("traffic.body_idle_ms", s.Traffic.BodyIdleMillis, minBodyIdle, maxBodyIdle)
 	c.between("traffic.stop_limit_ms", s.Traffic.StopLimitMillis, minStopLimit, maxStopLimit)
+	if s.Traffic.RetryRatio < 0 || s.Traffic.RetryRatio > 1 {
+		c.add("traffic.retry_ratio", "must be 0 to 1")
+	}
+	c.between("traffic.retry_extra", s.Traffic.RetryExtra, 0, maxCount)
+	if within := time.Duration(s.Traffic.StopWithin); within < 0 || within > maxStopWithin {
+		c.add("traffic.stop_within", "must be 0s to "+maxStopWithin.String())
+	}
 	for i, login := range s.Logins {
 		c.credential("credentials["+strconv.Itoa(i)+"]", login)
 	}
@@ -246,6 +298,30 @@
 	return c.faults
 }
 
+// platform checks what depends on the kind of platform.
+func (c *checker) platform(s Settings) {
+	switch s.Platform.Kind {
+	case LogPlatform:
+		c.between("backend.slots", s.Backend.Slots, 1, maxSlots)
+		c.unused("listen.readiness", s.Listen.Readiness)
+		c.unused("listen.reports", s.Listen.Reports)
+	case StorePlatform:
+		c.address("listen.readiness", s.Listen.Readiness)
+		c.address("listen.reports", s.Listen.Reports)
+		if s.Backend.Slots != 0 {
+			c.add("backend.slots", "is reported by the backend server itself")
+		}
+	default:
+		c.add("platform.kind", `must be "log" or "store"`)
+	}
+}
+
+func (c *checker) unused(key, value string) {
+	if value != "" {
+		c.add(key, `is for platform.kind "store"`)
+	}
+}
+
 // checker collects faults.
 type checker struct {
 	faults Faults
--- a/tables/order.go
+++ b/tables/order.go
@@ -16,6 +16,8 @@
 	rankChanges     blackboard.Rank = 100
 	rankRoutes      blackboard.Rank = 110
 	rankSubmissions blackboard.Rank = 120
+	rankDocument    blackboard.Rank = 130
+	rankSources     blackboard.Rank = 132
 
 	// Distribution: 150 to 199.
 	rankRole           blackboard.Rank = 150
@@ -48,6 +50,7 @@
 
 	// Traffic: 400 to 499 callers' requests, 500 to 599 the admission point.
 	rankCalls      blackboard.Rank = 400
+	rankBackend    blackboard.Rank = 490
 	rankDrain      blackboard.Rank = 500
 	rankLimits     blackboard.Rank = 510
 	rankCapacity   blackboard.Rank = 515
@@ -75,6 +78,11 @@
 	rankKeySends     blackboard.Rank = 960
 	rankKeyReplies   blackboard.Rank = 970
 	rankHedges       blackboard.Rank = 975
+	// The same, of the own backend server and of approved configuration.
+	rankRegistrations   blackboard.Rank = 976
+	rankSendings        blackboard.Rank = 977
+	rankDocumentAsks    blackboard.Rank = 978
+	rankDocumentResults blackboard.Rank = 979
 
 	// The same, of distribution: 950 to 969.
 	rankAsks          blackboard.Rank = 950
@@ -99,6 +107,8 @@
 	EventLog
 	Messages
 	Journal
+	Backend
+	Approved
 }
 
 // New returns the empty tables of a node on board b.
@@ -113,5 +123,7 @@
 		EventLog: newEventLog(b),
 		Messages: newMessages(b),
 		Journal:  newJournal(b),
+		Backend:  newBackend(b),
+		Approved: newApproved(b),
 	}
 }
