A report held up past its backend server's departure does not count

Ruled out: the admission point, which refused while the phase was unknown. The departure is now kept, with the start that a late report tells. Test: TestReportHeldUpPastTheDepartureDoesNotCount (fails before).

--- a/decide/registration/registration.go
+++ b/decide/registration/registration.go
@@ -66,8 +66,23 @@
 	// DownUntil is the end of the time in which it gets no requests because it
 	// took no connection.
 	DownUntil time.Time
+	// Departed is an instance that said it was gone before this process knew
+	// of it: a report of it may still be on its way.
+	Departed Departure
 }
 
+// Departure is an instance that has gone.
+type Departure struct {
+	Instance string
+	// Born is its time of start; zero while it is not known.
+	Born int64
+}
+
+// firstReports is the number of reports at the start of a backend server by
+// which it is told from one that left under the same name: one of them gets
+// through unless both were lost.
+const firstReports = 2
+
 // Verdict is what became of a report.
 type Verdict uint8
 
@@ -108,21 +123,43 @@
 	if r.Service != own.Service || r.Address != own.Address {
 		return b, Mismatched
 	}
-	if !b.isNews(r) {
+	departed, late := b.Departed.hear(r)
+	b.Departed = departed
+	if late || !b.isNews(r) {
 		return b, Stale
 	}
-	return Backend{Report: r, HeardAt: now, ColdUntil: now.Add(r.Cold)}, Accepted
+	return Backend{Report: r, HeardAt: now, ColdUntil: now.Add(r.Cold), Departed: departed}, Accepted
 }
 
 // gone takes in that an instance has gone.
 func (b Backend) gone(r Report) (Backend, Verdict) {
-	if r.Instance != b.Instance || r.Born != 0 && r.Born != b.Born {
+	if r.Instance != b.Instance || b.Phase == Unknown {
+		b.Departed = Departure{Instance: r.Instance, Born: r.Born}
+		return b, Accepted
+	}
+	if r.Born != 0 && r.Born != b.Born {
 		return b, Stale
 	}
 	b.Phase = Gone
 	return b, Accepted
 }
 
+// hear returns the departure after a report, and whether the report is a late
+// one of the instance that has gone.
+func (d Departure) hear(r Report) (_ Departure, late bool) {
+	if r.Instance != d.Instance {
+		return d, false
+	}
+	if d.Born != 0 {
+		return d, r.Born <= d.Born
+	}
+	if r.Sequence <= firstReports {
+		return d, false
+	}
+	d.Born = r.Born
+	return d, true
+}
+
 // isNews reports whether a report is newer than what is known.
 func (b Backend) isNews(r Report) bool {
 	switch {
--- /dev/null
+++ b/decide/registration/registration_test.go
@@ -0,0 +1,83 @@
+package registration_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/marigoldshelf/marigoldshelf/decide/registration"
+)
+
+var (
+	start = time.Unix(1_700_000_000, 0)
+	own   = registration.Report{Service: "desk", Address: "10.0.0.1:80"}
+)
+
+func report(instance string, phase registration.Phase, sequence uint64, born int64) registration.Report {
+	return registration.Report{
+		Instance: instance, Service: own.Service, Address: own.Address, Slots: 6,
+		Phase: phase, Sequence: sequence, Born: born,
+	}
+}
+
+func apply(t *testing.T, b registration.Backend, r registration.Report, want registration.Verdict) registration.Backend {
+	t.Helper()
+	b, v := registration.Apply(start, b, r, own)
+	must.Eq(t, want, v)
+	return b
+}
+
+func TestLateReportsOfTheSameStartDoNotCount(t *testing.T) {
+	b := apply(t, registration.Backend{}, report("a", registration.Ready, 4, 100), registration.Accepted)
+	b = apply(t, b, report("a", registration.Draining, 5, 100), registration.Accepted)
+	b = apply(t, b, report("a", registration.Ready, 3, 100), registration.Stale)
+	must.False(t, b.Takes(start))
+	b = apply(t, b, registration.Report{Instance: "a", Phase: registration.Gone}, registration.Accepted)
+	b = apply(t, b, report("a", registration.Ready, 6, 100), registration.Stale)
+	must.False(t, b.Takes(start))
+}
+
+func TestRestartUnderTheSameNameCounts(t *testing.T) {
+	b := apply(t, registration.Backend{}, report("a", registration.Ready, 9, 100), registration.Accepted)
+	b = apply(t, b, registration.Report{Instance: "a", Phase: registration.Gone}, registration.Accepted)
+	b = apply(t, b, report("a", registration.Ready, 1, 200), registration.Accepted)
+	must.True(t, b.Takes(start))
+	apply(t, b, report("a", registration.Ready, 10, 100), registration.Stale)
+}
+
+func TestReportOfAPredecessorAtTheAddressDoesNotCount(t *testing.T) {
+	b := apply(t, registration.Backend{}, report("new", registration.Ready, 1, 200), registration.Accepted)
+	b = apply(t, b, report("old", registration.Ready, 30, 100), registration.Stale)
+	must.Eq(t, "new", b.Instance)
+}
+
+// A node that was restarted hears first that its backend server has gone, and
+// then a report that was held up on the way.
+func TestReportHeldUpPastTheDepartureDoesNotCount(t *testing.T) {
+	b := apply(t, registration.Backend{}, registration.Report{Instance: "a", Phase: registration.Gone}, registration.Accepted)
+	b = apply(t, b, report("a", registration.Ready, 19, 100), registration.Stale)
+	must.False(t, b.Takes(start))
+	b = apply(t, b, report("a", registration.Ready, 20, 100), registration.Stale)
+	b = apply(t, b, report("a", registration.Ready, 3, 200), registration.Accepted)
+	must.True(t, b.Takes(start))
+}
+
+func TestOtherServiceOrAddressNamesNoBackend(t *testing.T) {
+	r := report("a", registration.Ready, 1, 100)
+	r.Address = "10.0.0.2:80"
+	b := apply(t, registration.Backend{}, r, registration.Mismatched)
+	r = report("a", registration.Ready, 1, 100)
+	r.Service = "other"
+	apply(t, b, r, registration.Mismatched)
+}
+
+func TestBackendThatTakesNoConnectionRestsUntilItReports(t *testing.T) {
+	b := apply(t, registration.Backend{}, report("a", registration.Ready, 1, 100), registration.Accepted)
+	b = b.Refused(start)
+	must.False(t, b.Takes(start))
+	must.True(t, b.Takes(b.DownUntil))
+	b = b.Refused(b.DownUntil)
+	b = apply(t, b, report("a", registration.Ready, 2, 100), registration.Accepted)
+	must.True(t, b.Takes(start))
+}
