A node that will be killed refuses callers in time; told slots are not cut

Ruled out: late readiness, which answered 503 from the first check on. From 2.5 s after the signal callers are refused as not run; at 5.7 s of 6 the process ends by itself. Told slots: a grey backend server that sheds part of its requests halved the slots used beside it.

--- a/controllers/registration/registration.go
+++ b/controllers/registration/registration.go
@@ -57,7 +57,7 @@
 	}
 	if b.Slots > 0 && (b.Slots != known.Slots || b.Instance != known.Instance || b.Born != known.Born) {
 		k.Limits.Set(tx, admit.Limits{Slots: b.Slots, Queue: int(k.Queue * float64(b.Slots))})
-		k.Capacity.Set(tx, limit.Start(now, b.Slots))
+		k.Capacity.Set(tx, limit.Told(now, b.Slots))
 	}
 	if state := k.Drain.Get(tx); !state.Stopping && state.Draining == b.Takes(now) {
 		k.Drain.Set(tx, drain.State{Draining: !b.Takes(now), Since: now})
--- a/decide/drain/drain.go
+++ b/decide/drain/drain.go
@@ -8,6 +8,13 @@
 	// Grace is how long a stopping node goes on refusing truthfully, so that
 	// every other one learns that it leaves.
 	Grace = 2 * time.Second
+	// callersGrace is how long a stopping node that will be killed goes on
+	// serving its callers: two checks of its readiness a second apart send new
+	// ones elsewhere, and half a second lets the second one arrive.
+	callersGrace = 2500 * time.Millisecond
+	// lastMoment is how long before it is killed a node ends by itself, so that
+	// connections end and are not left open.
+	lastMoment = 300 * time.Millisecond
 	// tellInterval is how often a stopping node says what it waits for.
 	tellInterval = 5 * time.Second
 	// lookInterval is how often it looks whether something is under way.
@@ -29,6 +36,8 @@
 	Told time.Time
 	// Done is true once a stopping node may end.
 	Done bool
+	// KilledAt is when the process is killed whatever it does; zero for never.
+	KilledAt time.Time
 }
 
 // Stop returns the state of a node that was asked to end.
@@ -39,6 +48,23 @@
 	return State{Draining: true, Stopping: true, Since: now}
 }
 
+// KilledAfter returns the state of a stopping node that is killed so long after
+// the stop began; zero for never.
+func (s State) KilledAfter(within time.Duration) State {
+	if within > 0 {
+		s.KilledAt = s.Since.Add(within)
+	}
+	return s
+}
+
+// RefusesCallers reports whether a stopping node takes no more requests of its
+// callers. Callers who use open connections go on until the process is gone,
+// so one that is killed after a time refuses in time to let the last of them
+// end; one that is not killed takes all and ends between them.
+func (s State) RefusesCallers(now time.Time) bool {
+	return s.Stopping && !s.KilledAt.IsZero() && now.Sub(s.Since) >= callersGrace
+}
+
 // Underway counts what a stop waits for.
 type Underway struct {
 	// Calls is the number of callers' requests at the node.
@@ -60,7 +86,8 @@
 	if waited < Grace {
 		return s, min(Grace-waited, lookInterval)
 	}
-	if u == (Underway{}) {
+	killed := !s.KilledAt.IsZero() && !now.Before(s.KilledAt.Add(-lastMoment))
+	if u == (Underway{}) || killed {
 		s.Done = true
 		return s, 0
 	}
--- a/decide/drain/drain_test.go
+++ b/decide/drain/drain_test.go
@@ -42,3 +42,16 @@
 	must.Eq(t, s, next)
 	must.Zero(t, after)
 }
+
+func TestNodeThatWillBeKilledRefusesCallersInTime(t *testing.T) {
+	const within = 6 * time.Second
+	busy := drain.Underway{Calls: 1}
+	s := drain.State{}.Stop(start).KilledAfter(within)
+	must.False(t, s.RefusesCallers(start.Add(2*time.Second)), must.Sprint("callers may not have been told yet"))
+	must.True(t, s.RefusesCallers(start.Add(within/2)))
+	s, _ = s.Advance(start.Add(within-time.Second), busy, limit)
+	must.False(t, s.Done)
+	s, _ = s.Advance(start.Add(within-100*time.Millisecond), busy, limit)
+	must.True(t, s.Done)
+	must.False(t, drain.State{}.Stop(start).RefusesCallers(start.Add(time.Hour)))
+}
--- a/decide/limit/limit.go
+++ b/decide/limit/limit.go
@@ -19,11 +19,17 @@
 	Slots int
 	// Changed is when it last changed.
 	Changed time.Time
+	// Exact is true when the backend server itself told its slots and only this
+	// node uses them: what it sheds then says nothing of its load.
+	Exact bool
 }
 
 // Start returns the limit of a cold backend server with the given slots.
 func Start(now time.Time, slots int) State { return State{Slots: floor(slots), Changed: now} }
 
+// Told returns the limit of a backend server that tells its slots.
+func Told(now time.Time, slots int) State { return State{Slots: slots, Changed: now, Exact: true} }
+
 // Grow returns the limit with what it has regained by now, and the instant to
 // ask again; zero when it is whole.
 func (s State) Grow(now time.Time, slots int) (State, time.Time) {
@@ -40,6 +46,9 @@
 
 // Cut returns the limit after the backend server shed a request by itself.
 func (s State) Cut(now time.Time, slots int) State {
+	if s.Exact {
+		return s
+	}
 	if s.Slots < slots && now.Sub(s.Changed) < cutInterval {
 		return s
 	}
--- a/decide/limit/limit_test.go
+++ b/decide/limit/limit_test.go
@@ -53,3 +53,10 @@
 		must.True(t, next.IsZero())
 	})
 }
+
+// A grey backend server sheds part of its requests with slots free.
+func TestToldSlotsAreNotCutWhenRequestsAreShed(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	s := limit.Told(now, 6)
+	must.Eq(t, 6, s.Cut(now.Add(time.Second), 6).Slots)
+}
--- a/front/caller/handler.go
+++ b/front/caller/handler.go
@@ -50,6 +50,9 @@
 	// Stopping reports whether the node stops: connections are then closed
 	// after the request that they carry.
 	Stopping func() bool
+	// Refusing reports whether the node is so near its end that it takes no
+	// more requests; nil for never.
+	Refusing func() bool
 }
 
 // Recorder writes what was decided on a request into the log. It must not
@@ -116,12 +119,20 @@
 	return h
 }
 
+// restartTime is when a caller may come back to a node that stops: its process
+// is back by then, or callers have been sent elsewhere.
+const restartTime = time.Second
+
 // ServeHTTP answers one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w = hop.FullDuplex(w, r)
 	if h.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
+	if h.Refusing != nil && h.Refusing() {
+		h.refuse(w, call.Step{Refusal: verdict.New(verdict.NotRun, verdict.Draining, nil), RetryAfter: restartTime})
+		return
+	}
 	x, failure := h.begin(w, r)
 	if failure != nil {
 		h.refuse(w, call.Step{Refusal: failure})
--- a/node/node.go
+++ b/node/node.go
@@ -31,8 +31,12 @@
 	"github.com/marigoldshelf/marigoldshelf/tables"
 )
 
-// closeTimeout bounds the closing of connections once nothing is under way.
-const closeTimeout = 30 * time.Second
+const (
+	// closeTimeout bounds the closing of connections once nothing is under way.
+	closeTimeout = 30 * time.Second
+	// killedCloseTimeout is the same for a process that is about to be killed.
+	killedCloseTimeout = 100 * time.Millisecond
+)
 
 // Options is what a node needs beside its settings.
 type Options struct {
@@ -208,7 +212,11 @@
 	if n.options.Adapter == nil {
 		n.distribution().Release()
 	}
-	return shutdown(servers)
+	timeout := closeTimeout
+	if n.options.Settings.Traffic.StopWithin > 0 {
+		timeout = killedCloseTimeout
+	}
+	return shutdown(servers, timeout)
 }
 
 // drain lets the node take no new work for its backend server, and returns
@@ -217,7 +225,11 @@
 func (n *Node) drain(ctx context.Context) error {
 	t := n.tables
 	now := n.options.Clock.Now()
-	t.Board.Do(func(tx *blackboard.Tx) { t.Drain.Set(tx, t.Drain.Get(tx).Stop(now)) }, t.Drain.Write())
+	within := time.Duration(n.options.Settings.Traffic.StopWithin)
+	n.record.process("stopping")
+	t.Board.Do(func(tx *blackboard.Tx) {
+		t.Drain.Set(tx, t.Drain.Get(tx).Stop(now).KilledAfter(within))
+	}, t.Drain.Write())
 	_, err := t.Drain.Await(ctx, func(s drain.State) bool { return s.Done })
 	return eris.Wrap(err, "stop")
 }
@@ -289,8 +301,8 @@
 }
 
 // shutdown ends the servers together: each lets its requests end.
-func shutdown(servers []server) error {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+func shutdown(servers []server, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	var group sync.WaitGroup
 	failures := make([]error, len(servers))
--- a/node/traffic.go
+++ b/node/traffic.go
@@ -61,6 +61,7 @@
 			n.options.Metrics.Count(string(event), reason)
 		},
 		Stopping: func() bool { return n.tables.Drain.Load().Stopping },
+		Refusing: func() bool { return n.tables.Drain.Load().RefusesCallers(n.options.Clock.Now()) },
 	}, n.sendPool)
 }
 
