An attempt that is over reads no more of the body; last word before the caller's deadline

The goroutine that sent the first attempt's body was still writing its buffered head; it then read on in the stream and took bytes that the second attempt needed. Ruled out: the pool's reuse of the connection (dropped while the body was not sent whole) and a chunked body ended early. Each attempt now holds the right to read, which the next one takes over.

Retry-After follows how much is being shed.

--- a/controllers/admission/admission.go
+++ b/controllers/admission/admission.go
@@ -44,7 +44,9 @@
 		t.Admissions.Put(tx, r.ID, r)
 		replace(present, r)
 	}
-	if load := admit.Occupancy(limits.Slots, present); load != t.Occupancy.Get(tx) {
+	load := admit.Occupancy(limits.Slots, present)
+	load.Failing = limits.Service.Failing()
+	if load != t.Occupancy.Get(tx) {
 		t.Occupancy.Set(tx, load)
 	}
 	return controller.Result{After: next(now, grows, present)}
@@ -59,6 +61,9 @@
 			return true
 		}
 		t.Admissions.Delete(tx, id)
+		if !r.Granted.IsZero() {
+			times = times.Ended(r.Shed || r.Failed)
+		}
 		if r.Shed {
 			capacity = capacity.Cut(now, t.Limits.Get(tx).Slots)
 		} else if r.Whole {
--- a/controllers/calls/calls.go
+++ b/controllers/calls/calls.go
@@ -10,6 +10,7 @@
 	"github.com/marigoldshelf/marigoldshelf/controller"
 	"github.com/marigoldshelf/marigoldshelf/decide/call"
 	"github.com/marigoldshelf/marigoldshelf/decide/choose"
+	"github.com/marigoldshelf/marigoldshelf/decide/retry"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 )
@@ -19,11 +20,48 @@
 	// Zone and Region are the node's own.
 	Zone   mesh.Zone
 	Region mesh.Region
+	// Budget is what all nodes together may send again; the zero value leaves
+	// each node its own budget.
+	Budget SharedBudget
+	// ReplyMargin is how long before the caller's deadline an answer is due.
+	ReplyMargin time.Duration
 	// Random is the source of draws. It is used only under the write lock of
 	// the table Calls.
 	Random *rand.Rand
 }
 
+// SharedBudget bounds, for all nodes together and each service, the requests
+// that go to a second backend server.
+type SharedBudget struct {
+	// Ratio is the part of the requests for the service, 0 to 1.
+	Ratio float64
+	// Extra is the number beyond that part, in a window of some seconds.
+	Extra int
+}
+
+const (
+	// ratioShare is the part of the shared ratio that nodes use. A request that
+	// runs a second time makes its own calls a second time, and those count
+	// at the services called, whose own retries come on top.
+	ratioShare = 0.4
+	// extraShare is the same for the number beyond: a node that restarts within
+	// the window begins with a full share, and members that are gone count as
+	// long as they are remembered.
+	extraShare = 0.4
+)
+
+// among returns one node's part among so many. Nodes need not agree on the
+// number: the parts left unused cover what they differ by.
+func (b SharedBudget) among(nodes int) retry.Policy {
+	if b == (SharedBudget{}) {
+		return retry.Policy{}
+	}
+	return retry.Policy{
+		Ratio:    ratioShare * b.Ratio,
+		Capacity: max(extraShare*float64(b.Extra)/float64(max(nodes, 1)), 1),
+	}
+}
+
 // Register adds the controller; its key is the request ID.
 func Register(p *controller.Pool, t *tables.Tables, c Config) {
 	r := reconciler{tables: t, config: c}
@@ -39,7 +77,7 @@
 func (r reconciler) reconcile(now time.Time, id string) (result controller.Result) {
 	t := r.tables
 	t.Board.Do(func(tx *blackboard.Tx) { result = r.step(tx, now, id) },
-		t.Routes.Read(), t.Floor.Read(), t.Endpoints.Read(), t.Reports.Write(), t.InFlight.Write(), t.Services.Write(),
+		t.Routes.Read(), t.Floor.Read(), t.Members.Read(), t.Endpoints.Read(), t.Reports.Write(), t.InFlight.Write(), t.Services.Write(),
 		t.Calls.Write(), t.Hedges.Write())
 	return result
 }
@@ -80,6 +118,8 @@
 		Region:       r.config.Region,
 		Random:       r.config.Random,
 		Pick:         choose.Pick,
+		ReplyMargin:  r.config.ReplyMargin,
+		Budget:       r.config.Budget.among(r.tables.Members.Len(tx)),
 		Candidates:   func(s mesh.ServiceName) []choose.Candidate { return r.candidates(tx, s) },
 		Service: func(s mesh.ServiceName) *call.Service {
 			if name != s {
--- a/decide/admit/admit.go
+++ b/decide/admit/admit.go
@@ -46,6 +46,8 @@
 	// Shed is true on a finished request that the backend server refused by
 	// itself.
 	Shed bool
+	// Failed is true on a finished request that the backend server failed.
+	Failed bool
 	// Reason is why it was refused.
 	Reason verdict.Reason
 	// RetryAfter is when a refused request may come back, from now.
--- a/decide/admit/service.go
+++ b/decide/admit/service.go
@@ -20,8 +20,26 @@
 type ServiceTimes struct {
 	mean [mesh.NumClasses]time.Duration
 	fast [mesh.NumClasses]time.Duration
+	// failing is the part of the latest requests that failed, 0 to 1.
+	failing float64
 }
 
+// failingGain is the weight of one request in the part that fails.
+const failingGain = 1.0 / 16
+
+// Ended returns the times with how one more request ended counted in.
+func (s ServiceTimes) Ended(failed bool) ServiceTimes {
+	target := 0.0
+	if failed {
+		target = 1
+	}
+	s.failing += (target - s.failing) * failingGain
+	return s
+}
+
+// Failing returns how many in 100 of the latest requests failed.
+func (s ServiceTimes) Failing() int { return int(s.failing*100 + 0.5) }
+
 // Observe returns the times with one more request counted in.
 func (s ServiceTimes) Observe(c mesh.Class, took time.Duration) ServiceTimes {
 	i := c.Index()
--- a/decide/call/call.go
+++ b/decide/call/call.go
@@ -73,6 +73,9 @@
 	Replayable bool
 	// Exhausted is true when the failure was already retried further down.
 	Exhausted bool
+	// Failed is true when the answer says that the backend server failed, which
+	// another one may not.
+	Failed bool
 	// Took is the time from sending to the head of the answer.
 	Took time.Duration
 	// Load is what the receiving node reported; no slots when it did not.
@@ -119,6 +122,8 @@
 type Service struct {
 	Retries retry.Budget
 	Hedges  hedge.State
+	// Shedding is the part of the latest requests that found no room, 0 to 1.
+	Shedding float64
 }
 
 // World is what the decision may look at, and the service's state, which it
@@ -138,6 +143,10 @@
 	Service func(mesh.ServiceName) *Service
 	// Pick chooses among the candidates.
 	Pick choose.Policy
+	// ReplyMargin is how long before the caller's own deadline the last word
+	// on its request is due, Grace included. A caller that gets none closes its
+	// connection, and with it every other request on it.
+	ReplyMargin time.Duration
 	// Budget bounds the retries of a service; the zero value takes the default.
 	Budget retry.Policy
 	Random *rand.Rand
@@ -160,8 +169,8 @@
 	c = c.routed(matched, w)
 	rule := c.Rule
 	c.Deadline = r.Arrived.Add(rule.Deadline())
-	if !r.Deadline.IsZero() && r.Deadline.Before(c.Deadline) {
-		c.Deadline = r.Deadline
+	if own := r.Deadline.Add(-w.ReplyMargin); !r.Deadline.IsZero() && own.Before(c.Deadline) {
+		c.Deadline = own
 	}
 	if !now.Before(c.Deadline) {
 		return c.refuse(verdict.NotRun, verdict.DeadlineExceeded)
@@ -222,13 +231,11 @@
 		}
 	}
 	if len(open) == 0 && len(candidates) > 0 {
-		c = c.refuse(verdict.NotRun, verdict.Shed)
-		c.Step.RetryAfter = advice
-		return c
+		return c.giveUp(verdict.Shed, w)
 	}
 	target, found := w.Pick(c.query(now, w), open)
 	if !found {
-		return c.refuse(verdict.NotRun, verdict.NoBackend)
+		return c.giveUp(verdict.NoBackend, w)
 	}
 	return c.attempt(Attempt{Target: target, Sent: now})
 }
--- a/decide/call/continue.go
+++ b/decide/call/continue.go
@@ -19,10 +19,11 @@
 		return c
 	}
 	if winner, found := c.answered(); found {
+		w.Service(c.Rule.Service).found(true)
 		return c.next(Step{Kind: Answer, Attempt: winner})
 	}
 	if !now.Before(c.limit()) {
-		return c.refuseAfter(verdict.DeadlineExceeded)
+		return c.giveUp(verdict.DeadlineExceeded, w)
 	}
 	if c.underWay() {
 		return c.hedge(now, w)
@@ -40,16 +41,43 @@
 	return c.Deadline
 }
 
-// answered returns the first attempt that has an answer to pass on.
+// answered returns the first attempt that has an answer to pass on. A failure
+// of the backend server is one only where no other attempt may be made.
 func (c Call) answered() (attempt int, found bool) {
+	return c.firstAnswer(func(o Outcome) bool { return !o.Failed || !c.retriesFailures() })
+}
+
+// retriesFailures reports whether an answer that says that the backend server
+// failed is reason enough to ask another one.
+func (c Call) retriesFailures() bool {
+	return c.MaxBackends > 0 && c.Rule.Class.Idempotent()
+}
+
+func (c Call) firstAnswer(fits func(Outcome) bool) (attempt int, found bool) {
 	for i, a := range c.Attempts {
-		if a.Outcome != nil && a.Outcome.Reason == "" {
+		if a.Outcome != nil && a.Outcome.Reason == "" && fits(*a.Outcome) {
 			return i, true
 		}
 	}
 	return 0, false
 }
 
+// giveUp ends a call that is not tried again: with a backend server's answer
+// where there is one, else with a refusal.
+func (c Call) giveUp(reason verdict.Reason, w World) Call {
+	service := w.Service(c.Rule.Service)
+	if attempt, found := c.firstAnswer(func(Outcome) bool { return true }); found {
+		service.found(true)
+		return c.next(Step{Kind: Answer, Attempt: attempt})
+	}
+	c = c.refuseAfter(reason)
+	if c.MaxBackends > 0 && c.Step.Refusal.Verdict == verdict.NotRun {
+		service.found(false)
+		c.Step.RetryAfter = service.advice(w.Random)
+	}
+	return c
+}
+
 func (c Call) underWay() bool {
 	for _, a := range c.Attempts {
 		if a.Outcome == nil {
@@ -90,14 +118,14 @@
 		}
 		return c.sendAgain(now, w, last)
 	}
-	if !c.mayRetry(last) {
-		return c.refuseAfter(last.Reason)
+	if !c.mayRetry(last) || last.Failed && !c.stoodOut(last, w) {
+		return c.giveUp(last.Reason, w)
 	}
 	if !c.isFree(last) {
 		service := w.Service(c.Rule.Service)
 		left, allowed := service.Retries.Withdraw(w.Budget)
 		if !allowed {
-			return c.refuseAfter(verdict.RetryBudget)
+			return c.giveUp(verdict.RetryBudget, w)
 		}
 		service.Retries = left
 		if delay := retry.Delay(c.retries()+1, w.Random); delay > 0 {
@@ -142,6 +170,25 @@
 	return count
 }
 
+// standsOut is by how much, in 100 requests, a host has to fail more than the
+// others of its service before its failure is tried elsewhere.
+const standsOut = 15
+
+// stoodOut reports whether the host of the last attempt fails more than the
+// others do. Where all of them fail alike the cause lies behind them, in a
+// service that they call, and a second run would only call it once more.
+func (c Call) stoodOut(last Outcome, w World) bool {
+	host := c.Attempts[len(c.Attempts)-1].Target.Host
+	total, count := 0, 0
+	for _, candidate := range w.Candidates(c.Rule.Service) {
+		if candidate.Host != host && candidate.Report.Load.Slots > 0 {
+			total += candidate.Report.Load.Failing
+			count++
+		}
+	}
+	return count > 0 && last.Load.Failing > total/count+standsOut
+}
+
 // mayTryMore reports whether the bound on attempts leaves another one.
 func (c Call) mayTryMore() bool {
 	if c.MaxBackends > 0 {
@@ -163,7 +210,7 @@
 	target, found := w.Pick(c.query(now, w), w.Candidates(c.Rule.Service))
 	onlyOthers := c.MaxBackends > 0 || movesOn(last.Reason)
 	if !found || onlyOthers && c.tried(target.Host) {
-		return c.refuseAfter(last.Reason)
+		return c.giveUp(last.Reason, w)
 	}
 	return c.attempt(Attempt{Target: target, Sent: now})
 }
--- a/decide/choose/choose.go
+++ b/decide/choose/choose.go
@@ -19,6 +19,10 @@
 	// silence is how many times the expected latency a host may be silent
 	// with requests under way before that counts as its latency.
 	silence = 2
+	// failureFactor is how many times its cost a host counts more that fails
+	// every request: one that fails a tenth is left for another that is a half
+	// busier.
+	failureFactor = 5
 	// maxOut is the part of the hosts that may be left out for failures:
 	// one in maxOut. Past that, failures say more of this node's network.
 	maxOut = 3
@@ -160,7 +164,7 @@
 	if quiet := float64(q.Now.Sub(c.InFlight.Since)); c.InFlight.Count > 0 && quiet > silence*latency {
 		latency = quiet
 	}
-	price := latency * (1 + pressure(q.Now, c))
+	price := latency * (1 + pressure(q.Now, c)) * (1 + failureFactor*c.Report.failing(q.Now))
 	switch {
 	case c.Zone == q.Zone:
 		return price
--- a/decide/choose/report.go
+++ b/decide/choose/report.go
@@ -17,6 +17,9 @@
 	latencyAging = time.Second
 	// loadAging is the same for a reported load.
 	loadAging = 500 * time.Millisecond
+	// failingAging is the same for the reported part of failures: a host that
+	// gets nothing is tried again within seconds.
+	failingAging = 2 * time.Second
 	// ejectFailures is the number of failures in a row that eject a host.
 	ejectFailures = 3
 	// ejectTime is how long the first ejection lasts; it doubles.
@@ -137,6 +140,11 @@
 	return float64(r.Load.Busy+r.Load.Queued) * fade(now.Sub(r.At), loadAging)
 }
 
+// failing is the reported part of requests that fail, less as the report ages.
+func (r Report) failing(now time.Time) float64 {
+	return float64(r.Load.Failing) / 100 * fade(now.Sub(r.At), failingAging)
+}
+
 // expected is the latency estimate, drawn towards typical as it ages.
 func (r Report) expected(now time.Time, c mesh.Class, typical float64) float64 {
 	i := c.Index()
--- a/encoding/hop/hop.go
+++ b/encoding/hop/hop.go
@@ -198,14 +198,18 @@
 }
 
 func formatLoad(l mesh.Load) string {
-	return strconv.Itoa(l.Slots) + "/" + strconv.Itoa(l.Busy) + "/" + strconv.Itoa(l.Queued)
+	text := strconv.Itoa(l.Slots) + "/" + strconv.Itoa(l.Busy) + "/" + strconv.Itoa(l.Queued)
+	if l.Failing > 0 {
+		text += "/" + strconv.Itoa(l.Failing)
+	}
+	return text
 }
 
 // parseLoad reads what formatLoad wrote; a malformed text is no load.
 func parseLoad(text string) mesh.Load {
-	var numbers [3]int
+	var numbers [4]int // the last may be left out
 	parts := strings.Split(text, "/")
-	if len(parts) != len(numbers) {
+	if len(parts) < len(numbers)-1 || len(parts) > len(numbers) {
 		return mesh.Load{}
 	}
 	for i, part := range parts {
@@ -215,7 +219,7 @@
 		}
 		numbers[i] = number
 	}
-	return mesh.Load{Slots: numbers[0], Busy: numbers[1], Queued: numbers[2]}
+	return mesh.Load{Slots: numbers[0], Busy: numbers[1], Queued: numbers[2], Failing: numbers[3]}
 }
 
 // Exhausted reports whether an answer is of a failure that was already retried
--- a/encoding/hop/pool.go
+++ b/encoding/hop/pool.go
@@ -107,6 +107,11 @@
 		done <- nil
 	}
 	if r.ContentLength == 0 {
+		// The length of a request that was received: it has no body. Sending
+		// one as unknown would add a chunked, empty body.
+		bare := *r
+		bare.Body = http.NoBody
+		r = &bare
 		send()
 		return done
 	}
--- a/front/caller/attempt.go
+++ b/front/caller/attempt.go
@@ -68,15 +68,16 @@
 	}
 	stop()
 	outcome := call.Outcome{
-		Verdict: verdict.Ran, Replayable: x.body.replayable(), Took: h.Clock.Now().Sub(sent),
+		Verdict: verdict.Ran, Took: h.Clock.Now().Sub(sent),
 		Load: told.Load, RetryAfter: told.RetryAfter, Exhausted: told.Exhausted,
 	}
 	if failure != nil {
 		cancel()
+		outcome.Replayable = x.body.revoke()
 		h.Count(AttemptFailed, failure.Reason)
 		outcome.Verdict, outcome.Reason = failure.Verdict, failure.Reason
 		h.Record.AttemptFailed(c, attempt, outcome)
-	} else if !x.keep(attempt, answer) {
+	} else if outcome = failedAnswer(outcome, answer, x.body); !x.keep(attempt, answer) {
 		answer.Body.Close()
 		return false
 	}
@@ -84,6 +85,17 @@
 	return failure == nil
 }
 
+// failedAnswer notes on an outcome whether the answer is a failure of the
+// backend server; the answer may come before the whole body was sent.
+func failedAnswer(o call.Outcome, answer *http.Response, b *body) call.Outcome {
+	if answer.StatusCode < http.StatusInternalServerError {
+		return o
+	}
+	o.Failed = true
+	o.Replayable = b.whole
+	return o
+}
+
 // forward sends the request to a peer. It returns the backend server's answer,
 // or why there is none, and what the peer told about it.
 func (h *Handler) forward(request *http.Request) (*http.Response, hop.Answer, *verdict.Error) {
--- a/front/caller/body.go
+++ b/front/caller/body.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -21,26 +21,67 @@
 type body struct {
 	head  []byte
 	whole bool // head is all of it
-	rest  *countingReader
+	rest  *sharedReader
 	size  int64 // -1 when not known
 }
 
-// countingReader notes whether anything was read.
-type countingReader struct {
+// errRevoked ends the reading of a body for an attempt that is over.
+var errRevoked = eris.New("caller: the attempt is over")
+
+// sharedReader is the rest of a body. One attempt at a time may read it: the
+// goroutine that sends the body of an attempt can outlive the attempt, and
+// must not take bytes that the next one needs.
+type sharedReader struct {
 	from io.Reader
-	used atomic.Bool
+
+	mu     sync.Mutex
+	holder int // the number of the attempt that may read
+	used   bool
+}
+
+// attemptReader reads for one attempt.
+type attemptReader struct {
+	*sharedReader
+	holder int
 }
 
-func (c *countingReader) Read(p []byte) (int, error) {
-	c.used.Store(true)
-	return c.from.Read(p)
+// Read implements io.Reader.
+func (r attemptReader) Read(p []byte) (int, error) {
+	if !r.begin(r.holder) {
+		return 0, errRevoked
+	}
+	return r.from.Read(p)
+}
+
+func (s *sharedReader) begin(holder int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.holder != holder {
+		return false
+	}
+	s.used = true
+	return true
+}
+
+// next lets the next attempt read, and no earlier one.
+func (s *sharedReader) next() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.holder++
+	return s.holder
+}
+
+func (s *sharedReader) wasUsed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.used
 }
 
 // newBody reads the first bytes of the request's body.
 func newBody(w http.ResponseWriter, r *http.Request, idle time.Duration) (*body, *verdict.Error) {
 	patient := hop.NewPatientBody(w, r, idle)
 	if r.ContentLength > bufferBytes {
-		return &body{rest: &countingReader{from: patient}, size: r.ContentLength}, nil
+		return &body{rest: &sharedReader{from: patient}, size: r.ContentLength}, nil
 	}
 	if r.ContentLength == 0 {
 		return &body{whole: true}, nil
@@ -55,21 +96,28 @@
 	}
 	b := &body{head: head, whole: len(head) <= bufferBytes, size: r.ContentLength}
 	if !b.whole {
-		b.rest = &countingReader{from: patient}
+		b.rest = &sharedReader{from: patient}
 	} else if len(r.Trailer) == 0 {
 		b.size = int64(len(head))
 	}
 	return b, nil
 }
 
-// replayable reports whether the body can still be sent from its start.
-func (b *body) replayable() bool { return b.whole || !b.rest.used.Load() }
+// revoke keeps the attempts so far from reading on, and reports whether the
+// body can still be sent from its start.
+func (b *body) revoke() (replayable bool) {
+	if b.whole {
+		return true
+	}
+	b.rest.next()
+	return !b.rest.wasUsed()
+}
 
-// reader returns the body from its start.
+// reader returns the body from its start, for one more attempt.
 func (b *body) reader() io.ReadCloser {
 	head := bytes.NewReader(b.head)
 	if b.whole {
 		return io.NopCloser(head)
 	}
-	return io.NopCloser(io.MultiReader(head, b.rest))
+	return io.NopCloser(io.MultiReader(head, attemptReader{b.rest, b.rest.next()}))
 }
--- a/front/peer/handler.go
+++ b/front/peer/handler.go
@@ -92,10 +92,12 @@
 	stop()
 	if failure != nil {
 		x.shed = failure.Reason == verdict.BackendShed
+		x.failed = failure.Reason == verdict.TransportFailed || failure.Reason == verdict.ResponseTruncated
 		h.fail(w, request, row, failure)
 		return
 	}
 	defer response.Body.Close()
+	x.failed = response.StatusCode >= http.StatusInternalServerError
 	h.record(request, row, nil)
 	h.answer(w, x, response)
 }
@@ -116,6 +118,7 @@
 type exchange struct {
 	id          string
 	whole, shed bool
+	failed      bool
 }
 
 // enter puts the request into the table of the admission point; it returns
@@ -146,6 +149,7 @@
 	t.Board.Do(func(tx *blackboard.Tx) {
 		row, _ := t.Admissions.Get(tx, x.id)
 		row.ID, row.State, row.Whole, row.Shed = x.id, admit.Finished, x.whole, x.shed
+		row.Failed = x.failed
 		t.Admissions.Put(tx, x.id, row)
 	}, t.Admissions.Write())
 }
--- a/mesh/member.go
+++ b/mesh/member.go
@@ -66,4 +66,7 @@
 	Busy int
 	// Queued is the number of requests that wait for a slot.
 	Queued int
+	// Failing is how many in 100 of the latest requests the backend server
+	// failed or shed.
+	Failing int
 }
--- a/node/traffic.go
+++ b/node/traffic.go
@@ -3,11 +3,13 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"time"
 
 	"github.com/marigoldshelf/marigoldshelf/controllers/admission"
 	"github.com/marigoldshelf/marigoldshelf/controllers/calls"
 	"github.com/marigoldshelf/marigoldshelf/controllers/stop"
 	"github.com/marigoldshelf/marigoldshelf/decide/admit"
+	"github.com/marigoldshelf/marigoldshelf/decide/call"
 	"github.com/marigoldshelf/marigoldshelf/encoding/hop"
 	"github.com/marigoldshelf/marigoldshelf/front/approved"
 	"github.com/marigoldshelf/marigoldshelf/front/caller"
@@ -32,13 +34,24 @@
 	}
 	admission.Register(n.pool, t)
 	stop.Register(n.pool, t, n.options.Settings.Traffic.StopLimit())
-	calls.Register(n.pool, t, calls.Config{
+	config := calls.Config{
 		Zone:   n.self.Zone,
 		Region: n.self.Region,
+		Budget: calls.SharedBudget{
+			Ratio: n.options.Settings.Traffic.RetryRatio, Extra: n.options.Settings.Traffic.RetryExtra,
+		},
 		Random: rand.New(rand.NewPCG(n.options.Seed, uint64(n.self.Incarnation))),
-	})
+	}
+	if n.options.Adapter != nil {
+		config.ReplyMargin = replyMargin
+	}
+	calls.Register(n.pool, t, config)
 }
 
+// replyMargin covers call.Grace and the way of an answer to a caller up to 30 ms
+// away, with what a busy node takes to write it.
+const replyMargin = call.Grace + 50*time.Millisecond
+
 // transport returns a transport whose idle connections are closed when the
 // node has stopped.
 func (n *Node) transport(perHost int) *http.Transport {
