--- a/controllers/registration/registration.go
+++ b/controllers/registration/registration.go
@@ -56,7 +56,7 @@
 		k.Backend.Backend.Set(tx, b)
 	}
 	if b.Slots > 0 && (b.Slots != known.Slots || b.Instance != known.Instance || b.Born != known.Born) {
-		k.Limits.Set(tx, admit.Limits{Slots: b.Slots, Queue: int(k.Queue * float64(b.Slots))})
+		k.Limits.Set(tx, admit.Limits{Slots: b.Slots, Queue: int(k.Queue * float64(b.Slots)), Ranked: true})
 		k.Capacity.Set(tx, limit.Told(now, b.Slots))
 	}
 	if state := k.Drain.Get(tx); !state.Stopping && state.Draining == b.Takes(now) {
--- a/decide/admit/admit.go
+++ b/decide/admit/admit.go
@@ -62,6 +62,9 @@
 	Queue int
 	// Draining is true once it takes no new work.
 	Draining bool
+	// Ranked is true where routes rank their requests: priority alone decides
+	// who goes first, and classes have no shares of their own.
+	Ranked bool
 	// Service is how long requests have taken lately.
 	Service ServiceTimes
 }
@@ -71,6 +74,10 @@
 // that cannot end before its deadline is refused at once.
 func Decide(now time.Time, limits Limits, requests []Request) []Request {
 	d := decision{now: now, limits: limits}
+	urgency := byUrgency
+	if limits.Ranked {
+		urgency = d.byRank
+	}
 	waiting := make([]Request, 0, len(requests))
 	for _, r := range requests {
 		switch r.State {
@@ -81,7 +88,7 @@
 		}
 	}
 	if len(waiting) > 1 {
-		slices.SortFunc(waiting, byUrgency)
+		slices.SortFunc(waiting, urgency)
 	}
 	for _, r := range waiting {
 		if next := d.next(r); next.State != Waiting {
@@ -113,8 +120,12 @@
 		r.State = Granted
 		r.Granted = d.now
 		return r
-	case d.queued >= queueShare(d.limits.Queue, r.Class):
+	case d.queued >= d.queueFor(r.Class):
 		return refuse(r, d.fullReason(), d.wait(r.Class))
+	case d.limits.Ranked && r.Class == mesh.Lookup && !d.isOnTime(r, d.wait(r.Class)):
+		// The caller does better to come back than to wait for a late answer
+		// in the place of one that can still be in time.
+		return refuse(r, verdict.Shed, d.wait(r.Class))
 	case !d.now.Add(d.wait(r.Class) + own).Before(r.Deadline):
 		return refuse(r, verdict.DeadlineTooShort, d.wait(r.Class))
 	}
@@ -123,6 +134,35 @@
 	return r
 }
 
+// queueFor is the length of the queue up to which a class may join.
+func (d *decision) queueFor(c mesh.Class) int {
+	if d.limits.Ranked {
+		return d.limits.Queue
+	}
+	return queueShare(d.limits.Queue, c)
+}
+
+// isOnTime reports whether a request that gets its slot after the wait can be
+// expected to end within its objective.
+func (d *decision) isOnTime(r Request, wait time.Duration) bool {
+	return r.Objective.IsZero() || d.now.Add(wait+d.limits.Service.Mean(r.Class)).Before(r.Objective)
+}
+
+// byRank orders by priority, then those that can still be in time before those
+// that are late anyhow, then by deadline.
+func (d *decision) byRank(a, b Request) int {
+	if order := cmp.Compare(a.Priority, b.Priority); order != 0 {
+		return order
+	}
+	if inTime := d.isOnTime(a, 0); inTime != d.isOnTime(b, 0) {
+		if inTime {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(a.Deadline.Compare(b.Deadline), a.Arrived.Compare(b.Arrived), cmp.Compare(a.ID, b.ID))
+}
+
 func (d *decision) fullReason() verdict.Reason {
 	if d.queued >= d.limits.Queue {
 		return verdict.QueueFull
@@ -139,6 +179,9 @@
 	if total >= d.limits.Slots {
 		return false
 	}
+	if d.limits.Ranked {
+		return true
+	}
 	upload, background := d.busy[mesh.Upload.Index()], d.busy[mesh.Background.Index()]
 	switch c {
 	case mesh.Upload:
@@ -152,7 +195,7 @@
 // wait estimates how long a request of the class would wait for its slot.
 func (d *decision) wait(c mesh.Class) time.Duration {
 	slots := d.limits.Slots
-	if c == mesh.Upload || c == mesh.Background {
+	if !d.limits.Ranked && (c == mesh.Upload || c == mesh.Background) {
 		slots = longShare(slots)
 	}
 	return (d.ahead + d.limits.Service.Mean(c)) / time.Duration(max(slots, 1))
