A node that will be killed ends only once its callers are refused

Ruled out: SIGKILL (3.9 s away). Done now waits until callers are refused, and what is left is let end until the process would be killed. Test: TestNodeThatWillBeKilledRefusesCallersInTime (fails before).

--- a/decide/drain/drain.go
+++ b/decide/drain/drain.go
@@ -65,6 +65,15 @@
 	return s.Stopping && !s.KilledAt.IsZero() && now.Sub(s.Since) >= callersGrace
 }
 
+// Left is how long a node that is killed may still take to end; false when it
+// may take as long as it needs.
+func (s State) Left(now time.Time) (time.Duration, bool) {
+	if s.KilledAt.IsZero() {
+		return 0, false
+	}
+	return max(s.KilledAt.Add(-lastMoment).Sub(now), lastMoment/2), true
+}
+
 // Underway counts what a stop waits for.
 type Underway struct {
 	// Calls is the number of callers' requests at the node.
@@ -83,8 +92,12 @@
 	if now.Sub(s.Told) >= tellInterval {
 		s.Told = now
 	}
-	if waited < Grace {
-		return s, min(Grace-waited, lookInterval)
+	grace := Grace
+	if !s.KilledAt.IsZero() {
+		grace = callersGrace // until callers are refused, one more may come at any moment
+	}
+	if waited < grace {
+		return s, min(grace-waited, lookInterval)
 	}
 	killed := !s.KilledAt.IsZero() && !now.Before(s.KilledAt.Add(-lastMoment))
 	if u == (Underway{}) || killed {
--- a/decide/drain/drain_test.go
+++ b/decide/drain/drain_test.go
@@ -54,4 +54,6 @@
 	s, _ = s.Advance(start.Add(within-100*time.Millisecond), busy, limit)
 	must.True(t, s.Done)
 	must.False(t, drain.State{}.Stop(start).RefusesCallers(start.Add(time.Hour)))
+	s, _ = drain.State{}.Stop(start).KilledAfter(within).Advance(start.Add(drain.Grace), drain.Underway{}, limit)
+	must.False(t, s.Done, must.Sprint("a caller that is not refused yet would be cut"))
 }
--- a/node/node.go
+++ b/node/node.go
@@ -31,12 +31,8 @@
 	"github.com/marigoldshelf/marigoldshelf/tables"
 )
 
-const (
-	// closeTimeout bounds the closing of connections once nothing is under way.
-	closeTimeout = 30 * time.Second
-	// killedCloseTimeout is the same for a process that is about to be killed.
-	killedCloseTimeout = 100 * time.Millisecond
-)
+// closeTimeout bounds the closing of connections once nothing is under way.
+const closeTimeout = 30 * time.Second
 
 // Options is what a node needs beside its settings.
 type Options struct {
@@ -213,8 +209,8 @@
 		n.distribution().Release()
 	}
 	timeout := closeTimeout
-	if n.options.Settings.Traffic.StopWithin > 0 {
-		timeout = killedCloseTimeout
+	if left, bounded := n.tables.Drain.Load().Left(n.options.Clock.Now()); bounded {
+		timeout = left
 	}
 	return shutdown(servers, timeout)
 }
