--- a/controllers/approved/approved.go
+++ b/controllers/approved/approved.go
@@ -29,6 +29,10 @@
 	// peerWait is how long a peer may hold an ask. Another peer is asked next,
 	// as this one may be cut off as well.
 	peerWait = 700 * time.Millisecond
+	// settle is the pause after a read that brought a document. Changes come in
+	// quick succession, and one read then brings the last of several; it is a
+	// small part of the two seconds in which a change has to be in force.
+	settle = 300 * time.Millisecond
 	// silence is how long the store may be silent, beyond a held read, before
 	// peers are asked beside it.
 	silence = 600 * time.Millisecond
@@ -102,10 +106,12 @@
 	if state.Failures > 0 {
 		f.Reached(source, state.Failures, nil)
 	}
-	f.Sources.Put(tx, source, tables.SourceState{AnsweredAt: now, Cursor: r.Cursor})
+	state = tables.SourceState{AnsweredAt: now, Cursor: r.Cursor}
 	if r.Document.Version > f.Document.Get(tx).Version {
 		newer = r.Document
+		state.NextAt = now.Add(settle)
 	}
+	f.Sources.Put(tx, source, state)
 	return newer
 }
 
@@ -160,7 +166,7 @@
 		return controller.Result{}
 	}
 	store, _ := f.Sources.Get(tx, Store)
-	if due := store.AnsweredAt.Add(storeWait + silence); now.Before(due) && store.Failures == 0 {
+	if due := store.AnsweredAt.Add(storeWait + settle + silence); now.Before(due) && store.Failures == 0 {
 		return controller.Result{After: due.Sub(now)}
 	}
 	address, found := f.anyPeer(tx)
--- a/front/pipeline/conn.go
+++ b/front/pipeline/conn.go
@@ -87,7 +87,7 @@
 		_ = c.net.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	}
 	if limits.HeaderBytes > 0 {
-		c.head.left = limits.HeaderBytes
+		c.head.left = max(limits.HeaderBytes-int64(c.reader.Buffered()), 0)
 	}
 	request, err := http.ReadRequest(c.reader)
 	c.head.left = -1
