A connection rests from the end of its last request

Cause: an idle time counted from the last look, so a connection whose request ended at that instant was closed at once (TestIdleConnectionsEndAndBusyOnesDoNot failed one run in three).

--- a/front/pipeline/conn.go
+++ b/front/pipeline/conn.go
@@ -29,6 +29,7 @@
 	mu       sync.Mutex
 	last     *exchange // the request read last
 	open     int       // requests under way
+	rested   time.Time // when the last of them ended
 	retiring bool      // to be closed once nothing is under way
 	closed   bool      // an answer told the caller that the connection ends
 	group    sync.WaitGroup
@@ -116,7 +117,7 @@
 func (c *conn) awaitFirstByte(limits Limits) bool {
 	for {
 		if limits.IdleTimeout > 0 && c.reader.Buffered() == 0 {
-			_ = c.net.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
+			_ = c.net.SetReadDeadline(c.idleEnd(limits.IdleTimeout))
 		}
 		if !c.mayRead() {
 			return false
@@ -125,7 +126,7 @@
 		if err == nil {
 			return c.mayRead()
 		}
-		if errors.Is(err, os.ErrDeadlineExceeded) && c.underWay() > 0 && !c.isRetiring() {
+		if errors.Is(err, os.ErrDeadlineExceeded) && c.mayRest(limits.IdleTimeout) {
 			continue
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -156,16 +157,29 @@
 	return !c.closed && !(c.retiring && c.reader.Buffered() == 0 && c.open == 0)
 }
 
-func (c *conn) underWay() int {
+// idleEnd is when the connection has rested for so long, should nothing happen
+// until then.
+func (c *conn) idleEnd(limit time.Duration) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.open
+	if c.open > 0 || c.rested.IsZero() {
+		return time.Now().Add(limit)
+	}
+	return c.rested.Add(limit)
 }
 
-func (c *conn) isRetiring() bool {
+// mayRest reports whether a connection on which nothing came stays open: a
+// request is under way, or ended less than the limit ago.
+func (c *conn) mayRest(limit time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.retiring
+	return !c.retiring && !c.closed && (c.open > 0 || limit > 0 && time.Since(c.rested) < limit)
+}
+
+func (c *conn) underWay() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open
 }
 
 // retire ends the connection as soon as nothing is under way on it: an idle
@@ -203,6 +217,7 @@
 func (c *conn) finished() {
 	c.mu.Lock()
 	c.open--
+	c.rested = time.Now()
 	stop := c.closed || c.retiring && c.open == 0
 	c.mu.Unlock()
 	<-c.slots
