--- /dev/null
+++ b/test/platform/fleet_test.go
@@ -0,0 +1,236 @@
+// Package platform_test runs whole fleets on a stand-in of the users' platform
+// inside a bubble of virtual time.
+package platform_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/marigoldshelf/marigoldshelf/blackboard"
+	"github.com/marigoldshelf/marigoldshelf/clock"
+	"github.com/marigoldshelf/marigoldshelf/encoding/hop"
+	"github.com/marigoldshelf/marigoldshelf/internal/memnet"
+	"github.com/marigoldshelf/marigoldshelf/metrics"
+	"github.com/marigoldshelf/marigoldshelf/node"
+	"github.com/marigoldshelf/marigoldshelf/platform"
+	"github.com/marigoldshelf/marigoldshelf/platform/standin"
+	"github.com/marigoldshelf/marigoldshelf/settings"
+)
+
+const (
+	storeIP      = "10.200.0.1"
+	latency      = time.Millisecond
+	slots        = 6
+	work         = 100 * time.Millisecond
+	beatInterval = 1500 * time.Millisecond
+	inForce      = 2 * time.Second // the users' bound on a change
+	joinTime     = 8 * time.Second // from the start of the fleet to its first request
+)
+
+// host is one host of a fleet.
+type host struct {
+	ip      string
+	zone    string
+	service string
+	backend *standin.Backend
+	node    *node.Node
+	stop    context.CancelFunc
+	ended   chan struct{}
+	client  *http.Client
+	server  *http.Server
+	beats   context.CancelFunc
+}
+
+type fleet struct {
+	t       *testing.T
+	network *memnet.Net
+	store   *standin.Store
+	server  *http.Server
+	hosts   []*host
+	version int
+}
+
+// newFleet starts a host of each service in each zone.
+func newFleet(t *testing.T, zones int, services ...string) *fleet {
+	f := &fleet{t: t, network: memnet.New(latency, 1), store: standin.NewStore()}
+	f.server = f.serve(storeIP, "80", f.store)
+	for zone := 1; zone <= zones; zone++ {
+		for i, service := range services {
+			f.start(f.addHost(zone, i+1, service))
+		}
+	}
+	return f
+}
+
+func (f *fleet) serve(ip, port string, h http.Handler) *http.Server {
+	l, err := f.network.Host(ip).Listen(ip + ":" + port)
+	must.NoError(f.t, err)
+	server := &http.Server{Handler: h}
+	go func() { _ = server.Serve(l) }()
+	return server
+}
+
+func (f *fleet) addHost(zone, number int, service string) *host {
+	h := &host{ip: fmt.Sprintf("10.%d.0.%d", zone, number), zone: fmt.Sprintf("zone-%d", zone), service: service}
+	instance := strings.ReplaceAll("i-"+h.ip, ".", "-")
+	h.backend = standin.NewBackend(instance, service, h.ip+":9000", h.zone, slots, work)
+	h.client = &http.Client{Transport: &http.Transport{DialContext: f.network.Host(h.ip).DialContext}, Timeout: 10 * time.Second}
+	h.server = f.serve(h.ip, "9000", h.backend)
+	ctx, cancel := context.WithCancel(context.Background())
+	h.beats = cancel
+	go h.report(ctx)
+	f.hosts = append(f.hosts, h)
+	return h
+}
+
+func (h *host) report(ctx context.Context) {
+	for ctx.Err() == nil {
+		h.backend.Report(ctx, h.client, h.ip+":7400")
+		select {
+		case <-ctx.Done():
+		case <-time.After(beatInterval):
+		}
+	}
+}
+
+func (f *fleet) start(h *host) {
+	checked, err := settings.Parse(f.settingsOf(h))
+	must.NoError(f.t, err)
+	adapter := platform.New("http://"+storeIP, &http.Client{Transport: hop.NewTransport(f.network.Host(h.ip), 0)})
+	h.node, err = node.New(node.Options{
+		Settings: checked, Log: adapter.Log(), Adapter: adapter, Network: f.network.Host(h.ip),
+		Clock: clock.System{}, Seed: 1, Board: blackboard.New(blackboard.CheckOrder()),
+		Metrics: metrics.New(tally.NoopScope),
+	})
+	must.NoError(f.t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	h.stop, h.ended = stop, make(chan struct{})
+	go func() {
+		defer close(h.ended)
+		_ = h.node.Run(ctx) // a node whose ports were killed under it may end with an error
+	}()
+}
+
+func (f *fleet) settingsOf(h *host) []byte {
+	at := func(port string) string { return h.ip + ":" + port }
+	data, err := json.Marshal(map[string]any{
+		"host": h.ip, "zone": h.zone, "region": "r",
+		"listen": map[string]string{
+			"callers": at("7100"), "peers": at("7200"), "operators": at("7300"),
+			"reports": at("7400"), "readiness": at("7500"),
+		},
+		"backend":  map[string]any{"service": h.service, "address": at("9000")},
+		"platform": map[string]string{"kind": "store", "url": "http://" + storeIP},
+		"traffic":  map[string]any{"retry_ratio": 0.2, "retry_extra": 60, "stop_within": "6s"},
+	})
+	must.NoError(f.t, err)
+	return data
+}
+
+// kill ends a host's node as its sudden death would; its backend server lives.
+func (f *fleet) kill(h *host) {
+	_ = h.server.Close()
+	f.network.Kill(h.ip)
+	h.stop()
+	<-h.ended
+	h.server = f.serve(h.ip, "9000", h.backend)
+}
+
+// close ends everything; a bubble must not end before all that it began.
+func (f *fleet) close() {
+	f.network.SetCut(nil)
+	f.store.SetFault("", standin.None)
+	for _, h := range f.hosts {
+		h.beats()
+		h.stop()
+		<-h.ended
+		_ = h.server.Close()
+		h.client.CloseIdleConnections()
+	}
+	_ = f.server.Close()
+	time.Sleep(10 * time.Second)
+	for _, h := range f.hosts {
+		f.network.Kill(h.ip)
+	}
+	f.network.Kill(storeIP)
+}
+
+// route is one route of the operator's configuration.
+type route map[string]any
+
+func routeTo(service, prefix, kind string) route {
+	return route{
+		"host": "shop.example", "pathPrefix": prefix, "kind": kind, "timeout": "2000ms", "targetLatency": "600ms",
+		"priority": 1, "service": service, "maxAttempts": 2,
+	}
+}
+
+// publish writes a configuration, as the operator does.
+func (f *fleet) publish(routes ...route) {
+	f.version += 3
+	resources := []map[string]any{
+		{"entryKind": "limits", "metadata": map[string]any{}, "specification": map[string]any{
+			"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 26, "headerTimeout": "3000ms", "idleTimeout": "15000ms"}},
+	}
+	for i, r := range routes {
+		resources = append(resources, map[string]any{
+			"entryKind": "routes", "metadata": map[string]any{"name": fmt.Sprintf("r-%d", i)}, "specification": r})
+	}
+	data, err := json.Marshal(map[string]any{"version": f.version, "resources": resources})
+	must.NoError(f.t, err)
+	f.store.PutKeyed("keyed.op", "config", data)
+}
+
+// answer is what a caller got.
+type answer struct {
+	status     int
+	retryAfter string
+	signature  string
+}
+
+// ask sends a request to the node of a host, from that host.
+func (f *fleet) ask(h *host, method, path, id string) answer {
+	f.t.Helper()
+	r, err := http.NewRequest(method, "http://"+h.ip+":7100"+path, strings.NewReader(""))
+	must.NoError(f.t, err)
+	r.Host = "shop.example"
+	r.Header.Set("X-Attempt-Id", id)
+	r.Header.Set("X-Deadline-Milliseconds", "4000")
+	r.Header.Set("X-Caller-Service", "forged")
+	response, err := h.client.Do(r)
+	if err != nil {
+		return answer{}
+	}
+	defer response.Body.Close()
+	return answer{response.StatusCode, response.Header.Get("Retry-After"), response.Header.Get("X-Response-Signature")}
+}
+
+// runs counts the runs of a request at every backend server.
+func (f *fleet) runs(id string) (total int, caller string) {
+	for _, h := range f.hosts {
+		runs, from := h.backend.Runs(id)
+		total += runs
+		if runs > 0 {
+			caller = from
+		}
+	}
+	return total, caller
+}
+
+// ready asks a node's readiness.
+func (h *host) ready() int {
+	response, err := h.client.Get("http://" + h.ip + ":7500/readiness")
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
--- /dev/null
+++ b/test/platform/platform_test.go
@@ -0,0 +1,206 @@
+package platform_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/marigoldshelf/marigoldshelf/platform/standin"
+)
+
+// inBubble runs a test with a fleet of two services in two zones that has had
+// time to find itself.
+func inBubble(t *testing.T, test func(*fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, "desk", "quotes")
+		defer f.close()
+		f.publish(routeTo("desk", "/status/", "idempotent"), routeTo("desk", "/book/", "non_idempotent"))
+		time.Sleep(joinTime)
+		test(f)
+	})
+}
+
+func TestQuietFleetServesEveryKind(t *testing.T) {
+	inBubble(t, func(f *fleet) {
+		for i, h := range f.hosts {
+			must.Eq(t, http.StatusOK, h.ready())
+			for _, path := range []string{"/status/", "/book/"} {
+				id := fmt.Sprintf("%s%d", path, i)
+				got := f.ask(h, http.MethodPost, path+"7", id)
+				must.Eq(t, http.StatusOK, got.status)
+				must.NotEq(t, "", got.signature)
+				runs, caller := f.runs(id)
+				must.Eq(t, 1, runs)
+				must.Eq(t, h.service, caller, must.Sprint("the service beside the node, whatever was sent"))
+			}
+			must.Eq(t, http.StatusNotFound, f.ask(h, http.MethodGet, "/none/", "n").status)
+			must.Eq(t, http.StatusNotFound, f.ask(h, http.MethodGet, "/status", "n").status,
+				must.Sprint("a prefix matches byte for byte"))
+		}
+	})
+}
+
+func TestNodeWithoutConfigurationRefusesAsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, "desk")
+		defer f.close()
+		time.Sleep(joinTime)
+		must.Eq(t, http.StatusServiceUnavailable, f.hosts[0].ready())
+		got := f.ask(f.hosts[0], http.MethodGet, "/status/", "a")
+		must.Eq(t, http.StatusServiceUnavailable, got.status)
+		must.NotEq(t, "", got.retryAfter)
+	})
+}
+
+func TestChangeIsInForceInTime(t *testing.T) {
+	inBubble(t, func(f *fleet) {
+		f.publish(routeTo("quotes", "/status/", "idempotent"), routeTo("quotes", "/photos/", "upload"))
+		time.Sleep(inForce)
+		for i, h := range f.hosts {
+			id := fmt.Sprint("c", i)
+			must.Eq(t, http.StatusOK, f.ask(h, http.MethodGet, "/photos/", id).status)
+			must.Eq(t, http.StatusNotFound, f.ask(h, http.MethodGet, "/book/", id).status)
+		}
+		runs, _ := f.hosts[0].backend.Total()
+		must.Eq(t, 0, runs, must.Sprint("desk has no route any more"))
+	})
+}
+
+// The store turns one host away, or falls silent towards it, and goes on
+// serving the others and the operator.
+func TestNodeThatTheStoreTurnsAwayFollowsItsPeers(t *testing.T) {
+	for _, fault := range []standin.Fault{standin.Busy, standin.Silent} {
+		inBubble(t, func(f *fleet) {
+			f.store.SetFault(f.hosts[0].ip, fault)
+			time.Sleep(3 * time.Second)
+			f.publish(routeTo("quotes", "/new/", "idempotent"))
+			time.Sleep(inForce)
+			must.Eq(t, http.StatusOK, f.ask(f.hosts[0], http.MethodGet, "/new/", "a").status)
+		})
+	}
+}
+
+func TestStoreThatForgetsAndFallsSilentIsFollowedAgain(t *testing.T) {
+	inBubble(t, func(f *fleet) {
+		f.store.SetFault("", standin.Silent)
+		time.Sleep(5 * time.Second)
+		must.Eq(t, http.StatusOK, f.ask(f.hosts[0], http.MethodGet, "/status/", "a").status)
+		f.publish(routeTo("quotes", "/new/", "idempotent"))
+		f.store.Forget("keyed.op")
+		f.store.SetFault("", standin.None)
+		time.Sleep(3 * time.Second)
+		for _, h := range f.hosts {
+			must.Eq(t, http.StatusOK, f.ask(h, http.MethodGet, "/new/", "b").status)
+		}
+	})
+}
+
+func TestLeavingBackendServerGetsNothingAfterItsAcknowledgement(t *testing.T) {
+	inBubble(t, func(f *fleet) {
+		leaving := f.hosts[0] // desk of the first zone
+		leaving.backend.SetState("draining")
+		must.True(t, leaving.backend.Report(context.Background(), leaving.client, leaving.ip+":7400"))
+		before, _ := leaving.backend.Total()
+		for i := range 20 {
+			must.Eq(t, http.StatusOK, f.ask(f.hosts[i%len(f.hosts)], http.MethodPost, "/book/", fmt.Sprint(i)).status)
+		}
+		after, _ := leaving.backend.Total()
+		must.Eq(t, before, after)
+	})
+}
+
+// The backend server at the address is another one than the node knows.
+func TestRequestForABackendServerThatWasReplacedRunsElsewhereOnce(t *testing.T) {
+	inBubble(t, func(f *fleet) {
+		replaced := f.hosts[0]
+		replaced.beats()
+		_ = replaced.server.Close()
+		other := standin.NewBackend("i-other", "else", replaced.ip+":9000", replaced.zone, slots, work)
+		replaced.server = f.serve(replaced.ip, "9000", other)
+		for i := range 10 {
+			id := fmt.Sprint(i)
+			must.Eq(t, http.StatusOK, f.ask(f.hosts[i%len(f.hosts)], http.MethodPost, "/book/", id).status)
+			runs, _ := f.runs(id)
+			must.Eq(t, 1, runs)
+		}
+		ran, _ := other.Total()
+		must.Eq(t, 0, ran)
+	})
+}
+
+// More come than fit: who is refused has not run, and the backend servers get
+// no more than their slots.
+func TestCrestIsRefusedTruthfullyAndFillsNoBackendServer(t *testing.T) {
+	inBubble(t, func(f *fleet) {
+		var mu sync.Mutex
+		served, refused := 0, 0
+		var group sync.WaitGroup
+		for i := range 120 {
+			group.Go(func() {
+				id := fmt.Sprint("x", i)
+				got := f.ask(f.hosts[i%len(f.hosts)], http.MethodPost, "/book/", id)
+				runs, _ := f.runs(id)
+				mu.Lock()
+				defer mu.Unlock()
+				switch got.status {
+				case http.StatusOK:
+					served++
+					must.Eq(t, 1, runs)
+				case http.StatusServiceUnavailable:
+					refused++
+					must.Eq(t, 0, runs)
+					must.NotEq(t, "", got.retryAfter)
+				default:
+					t.Errorf("status %d", got.status)
+				}
+			})
+		}
+		group.Wait()
+		must.Greater(t, 2*slots, served)
+		must.Positive(t, refused)
+		for _, h := range f.hosts {
+			_, overrun := h.backend.Total()
+			must.Eq(t, 0, overrun)
+		}
+	})
+}
+
+func TestPlannedStopLosesNoRequest(t *testing.T) {
+	inBubble(t, func(f *fleet) {
+		stopping := f.hosts[0]
+		began := time.Now()
+		go stopping.stop()
+		for i := 0; time.Since(began) < 6*time.Second; i++ {
+			got := f.ask(stopping, http.MethodPost, "/book/", fmt.Sprint("s", i))
+			if got.status == 0 {
+				// Its process is gone; nothing was read.
+				runs, _ := f.runs(fmt.Sprint("s", i))
+				must.Eq(t, 0, runs)
+				must.Greater(t, 2*time.Second, time.Since(began))
+				break
+			}
+			must.SliceContains(t, []int{http.StatusOK, http.StatusServiceUnavailable}, got.status)
+			time.Sleep(50 * time.Millisecond)
+		}
+		<-stopping.ended
+		must.Less(t, 6*time.Second, time.Since(began))
+	})
+}
+
+func TestNodeThatDiesComesBackAndServes(t *testing.T) {
+	inBubble(t, func(f *fleet) {
+		f.kill(f.hosts[0])
+		time.Sleep(time.Second)
+		f.start(f.hosts[0])
+		time.Sleep(3 * time.Second)
+		for i, h := range f.hosts {
+			must.Eq(t, http.StatusOK, f.ask(h, http.MethodPost, "/book/", fmt.Sprint("k", i)).status)
+		}
+	})
+}
