--- a/decide/call/call.go
+++ b/decide/call/call.go
@@ -30,6 +30,8 @@
 	// Whole is true when the whole body is at hand, so that the request can
 	// be sent to two backend servers at once.
 	Whole bool
+	// Large is true when the body is long enough for its way to matter.
+	Large bool
 	// CallerID is the caller's own name for the request, for logs.
 	CallerID string
 }
@@ -247,6 +249,7 @@
 	}
 	return choose.Query{
 		Now: now, Class: c.Rule.Class, Zone: w.Zone, Region: w.Region, Tried: tried, Random: w.Random,
+		Large: c.Request.Large,
 	}
 }
 
--- a/decide/choose/choose.go
+++ b/decide/choose/choose.go
@@ -16,6 +16,9 @@
 	// the region counts, and regionFactor another region.
 	zoneFactor   = 1.5
 	regionFactor = 4
+	// largeZoneFactor is the same as zoneFactor for requests with a large body:
+	// bytes between zones are paid for, and small requests have few.
+	largeZoneFactor = 4
 	// silence is how many times the expected latency a host may be silent
 	// with requests under way before that counts as its latency.
 	silence = 2
@@ -73,6 +76,8 @@
 	Region mesh.Region
 	// Tried has the hosts that earlier attempts went to.
 	Tried []mesh.HostID
+	// Large is true for a request with a large body.
+	Large bool
 	// Random is the source of the draw.
 	Random *rand.Rand
 }
@@ -168,6 +173,8 @@
 	switch {
 	case c.Zone == q.Zone:
 		return price
+	case c.Region == q.Region && q.Large:
+		return price * largeZoneFactor
 	case c.Region == q.Region:
 		return price * zoneFactor
 	}
--- a/front/caller/attempt.go
+++ b/front/caller/attempt.go
@@ -131,7 +131,7 @@
 	request.Body = hop.SingleUse{ReadCloser: x.body.reader()}
 	request.ContentLength = x.body.size
 	request.Trailer = hop.Trailers(r)
-	if !x.body.whole {
+	if x.body.isLarge() {
 		request.Header.Set("Expect", "100-continue")
 	}
 	now := h.Clock.Now()
--- a/front/caller/body.go
+++ b/front/caller/body.go
@@ -103,6 +103,13 @@
 	return b, nil
 }
 
+// largeBytes is the size from which a body is sent only once the request is
+// admitted, in bytes: below it the round trip costs more than the bytes.
+const largeBytes = 8 << 10
+
+// isLarge reports whether the body waits for the request's admission.
+func (b *body) isLarge() bool { return !b.whole || len(b.head) >= largeBytes }
+
 // revoke keeps the attempts so far from reading on, and reports whether the
 // body can still be sent from its start.
 func (b *body) revoke() (replayable bool) {
--- a/front/caller/handler.go
+++ b/front/caller/handler.go
@@ -156,7 +156,7 @@
 	}
 	request := call.Request{
 		ID: h.prefix + strconv.FormatUint(h.count.Add(1), 36), HostName: r.Host, Path: r.URL.Path,
-		Arrived: now, Whole: b.whole, CallerID: told.ID,
+		Arrived: now, Whole: b.whole, Large: b.isLarge(), CallerID: told.ID,
 	}
 	if told.Timeout > 0 {
 		request.Deadline = now.Add(told.Timeout)
