--- a/cmd/marigold/main.go
+++ b/cmd/marigold/main.go
@@ -51,6 +51,7 @@
 	Watch    watchCommand    `cmd:"" help:"Show changes as they come, until interrupted."`
 	Drain    drainCommand    `cmd:"" help:"Let a host's backend server take no new work; its node must be the one asked."`
 	Check    checkCommand    `cmd:"" help:"Check files without a node."`
+	Story    storyCommand    `cmd:"" help:"Print what the nodes' logs say of one request, in order."`
 	Measure  measureCommand  `cmd:"" help:"Send load, or measure decisions and distribution on a virtual clock."`
 
 	out io.Writer
--- a/cmd/marigoldd/main.go
+++ b/cmd/marigoldd/main.go
@@ -69,6 +69,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	log.Info("started")
+	go watchSettings(ctx, args.Settings, n)
 	return n.Run(ctx)
 }
 
--- a/controllers/calls/calls.go
+++ b/controllers/calls/calls.go
@@ -20,9 +20,9 @@
 	// Zone and Region are the node's own.
 	Zone   mesh.Zone
 	Region mesh.Region
-	// Budget is what all nodes together may send again; the zero value leaves
-	// each node its own budget.
-	Budget SharedBudget
+	// Budget is what all nodes together may send again; nil and the zero value
+	// leave each node its own budget.
+	Budget func() SharedBudget
 	// ReplyMargin is how long before the caller's deadline an answer is due.
 	ReplyMargin time.Duration
 	// Random is the source of draws. It is used only under the write lock of
@@ -64,6 +64,9 @@
 
 // Register adds the controller; its key is the request ID.
 func Register(p *controller.Pool, t *tables.Tables, c Config) {
+	if c.Budget == nil {
+		c.Budget = func() SharedBudget { return SharedBudget{} }
+	}
 	r := reconciler{tables: t, config: c}
 	handle := controller.Register(p, "calls", r.reconcile)
 	t.Calls.Watch(handle.Add)
@@ -119,7 +122,7 @@
 		Random:       r.config.Random,
 		Pick:         choose.Pick,
 		ReplyMargin:  r.config.ReplyMargin,
-		Budget:       r.config.Budget.among(r.tables.Members.Len(tx)),
+		Budget:       r.config.Budget().among(r.tables.Members.Len(tx)),
 		Candidates:   func(s mesh.ServiceName) []choose.Candidate { return r.candidates(tx, s) },
 		Service: func(s mesh.ServiceName) *call.Service {
 			if name != s {
--- a/node/node.go
+++ b/node/node.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -77,6 +78,8 @@
 	// pools are the same towards the own backend server.
 	pools  []*hop.Pool
 	desk   *desk.Desk
+	// traffic has the settings that may change while the node runs.
+	traffic atomic.Pointer[settings.Traffic]
 	record recorder
 }
 
@@ -102,6 +105,7 @@
 
 		sendPool: controller.New(o.Clock, sendWorkers),
 	}
+	n.traffic.Store(&o.Settings.Traffic)
 	n.record = recorder{events: o.Events, metrics: o.Metrics}
 	if err := n.listen(); err != nil {
 		return nil, err
@@ -221,7 +225,7 @@
 func (n *Node) drain(ctx context.Context) error {
 	t := n.tables
 	now := n.options.Clock.Now()
-	within := time.Duration(n.options.Settings.Traffic.StopWithin)
+	within := n.stopWithin()
 	n.record.process("stopping")
 	t.Board.Do(func(tx *blackboard.Tx) {
 		t.Drain.Set(tx, t.Drain.Get(tx).Stop(now).KilledAfter(within))
--- a/node/traffic.go
+++ b/node/traffic.go
@@ -37,9 +37,7 @@
 	config := calls.Config{
 		Zone:   n.self.Zone,
 		Region: n.self.Region,
-		Budget: calls.SharedBudget{
-			Ratio: n.options.Settings.Traffic.RetryRatio, Extra: n.options.Settings.Traffic.RetryExtra,
-		},
+		Budget: n.sharedBudget,
 		Random: rand.New(rand.NewPCG(n.options.Seed, uint64(n.self.Incarnation))),
 	}
 	if n.options.Adapter != nil {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"reflect"
 	"strconv"
 	"strings"
 	"time"
@@ -233,6 +234,13 @@
 	return s, nil
 }
 
+// SameStart reports whether a running node with these settings needs no restart
+// to have the others: they differ in nothing but Traffic.
+func (s Settings) SameStart(other Settings) bool {
+	s.Traffic, other.Traffic = Traffic{}, Traffic{}
+	return reflect.DeepEqual(s, other)
+}
+
 func (s *Settings) fillDefaults() {
 	if s.Workers == 0 {
 		s.Workers = defaultWorkers
