--- /dev/null
+++ b/decide/admit/ranked_test.go
@@ -0,0 +1,65 @@
+package admit_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/marigoldshelf/marigoldshelf/decide/admit"
+	"github.com/marigoldshelf/marigoldshelf/mesh"
+	"github.com/marigoldshelf/marigoldshelf/verdict"
+)
+
+// Pattern: a crest of lookups. One that is late anyhow would push those behind
+// it past their objective too; it is told to come back.
+func TestLookupThatWouldBeLateDoesNotWait(t *testing.T) {
+	var times admit.ServiceTimes
+	times = times.Observe(mesh.Lookup, 300*time.Millisecond)
+	limits := admit.Limits{Slots: 1, Queue: 6, Ranked: true, Service: times}
+	busy := waiting(1, mesh.Lookup, 4*time.Second)
+	busy.State = admit.Granted
+	late := waiting(2, mesh.Lookup, 4*time.Second)
+	late.Objective = start.Add(400 * time.Millisecond)
+	inTime := waiting(4, mesh.Lookup, 4*time.Second)
+	inTime.Objective = start.Add(2 * time.Second)
+	changed := admit.Decide(start, limits, []admit.Request{busy, late, inTime})
+	must.Len(t, 1, changed)
+	must.Eq(t, "2", changed[0].ID)
+	must.Eq(t, verdict.Shed, changed[0].Reason)
+}
+
+// Whatever comes, nobody with a better rank waits while a worse one is let in,
+// and the slots and the queue are never exceeded.
+func TestRankedAdmissionKeepsItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := admit.Limits{Slots: rapid.IntRange(1, 6).Draw(t, "slots"), Queue: rapid.IntRange(0, 6).Draw(t, "queue"), Ranked: true}
+		var rows []admit.Request
+		for i := range rapid.IntRange(0, 20).Draw(t, "requests") {
+			r := waiting(i, rapid.SampledFrom(mesh.Classes()).Draw(t, "class"), 5*time.Second)
+			r.Priority = rapid.IntRange(0, 2).Draw(t, "priority")
+			if i < limits.Slots && rapid.Bool().Draw(t, "granted") {
+				r.State = admit.Granted
+			}
+			rows = append(rows, r)
+		}
+		after := slices.Clone(rows)
+		for _, changed := range admit.Decide(start, limits, rows) {
+			at := slices.IndexFunc(after, func(r admit.Request) bool { return r.ID == changed.ID })
+			after[at] = changed
+		}
+		load := admit.Occupancy(limits.Slots, after)
+		must.LessEq(t, limits.Slots, load.Busy)
+		must.LessEq(t, limits.Queue, load.Queued)
+		for i, in := range after {
+			for j, out := range after {
+				letIn := rows[i].State == admit.Waiting && in.State == admit.Granted
+				if letIn && out.State == admit.Refused {
+					must.LessEq(t, out.Priority, in.Priority, must.Sprint(i, j))
+				}
+			}
+		}
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -76,11 +76,11 @@
 	// transports are those whose idle connections end with the node.
 	transports []*http.Transport
 	// pools are the same towards the own backend server.
-	pools  []*hop.Pool
-	desk   *desk.Desk
+	pools []*hop.Pool
+	desk  *desk.Desk
 	// traffic has the settings that may change while the node runs.
 	traffic atomic.Pointer[settings.Traffic]
-	record recorder
+	record  recorder
 }
 
 // listeners are the node's open ports.
