--- /dev/null
+++ b/decide/call/advice_test.go
@@ -0,0 +1,122 @@
+package call_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/marigoldshelf/marigoldshelf/decide/call"
+	"github.com/marigoldshelf/marigoldshelf/decide/choose"
+	"github.com/marigoldshelf/marigoldshelf/decide/route"
+	"github.com/marigoldshelf/marigoldshelf/mesh"
+	"github.com/marigoldshelf/marigoldshelf/verdict"
+)
+
+var noon = time.Unix(1_700_000_000, 0)
+
+// service is the state of one service over many requests.
+type service struct {
+	world call.World
+	state call.Service
+	hosts []choose.Candidate
+}
+
+func approvedService(t *testing.T, class mesh.Class, hosts int) *service {
+	t.Helper()
+	table, faults := route.CompileApproved(mesh.Approved{Version: 3, Routes: []mesh.Route{{
+		Rule:        mesh.Rule{ID: "r", HostName: "h", PathPrefix: "/", Service: "desk", Class: class, DeadlineMillis: 2000},
+		MaxBackends: 2,
+	}}})
+	must.SliceEmpty(t, faults)
+	s := &service{}
+	for i := range hosts {
+		s.hosts = append(s.hosts, choose.Candidate{Host: mesh.HostID(rune('a' + i)), Report: choose.Report{Load: mesh.Load{Slots: 6}}})
+	}
+	s.world = call.World{
+		Routes: table, Pick: choose.Pick, Random: rand.New(rand.NewPCG(1, 2)),
+		Candidates: func(mesh.ServiceName) []choose.Candidate { return s.hosts },
+		Service:    func(mesh.ServiceName) *call.Service { return &s.state },
+	}
+	return s
+}
+
+func (s *service) begin() call.Call {
+	return call.Begin(noon, call.Request{HostName: "h", Path: "/x", Arrived: noon, Whole: true}, s.world)
+}
+
+// end reports the outcome of the attempt under way and decides.
+func (s *service) end(c call.Call, o call.Outcome) call.Call {
+	o.Replayable = true
+	c = call.Continue(noon, c.WithOutcome(len(c.Attempts)-1, o), s.world)
+	if !c.RetryAt.IsZero() {
+		c = call.Continue(c.RetryAt, c, s.world)
+	}
+	return c
+}
+
+// Pattern: a crest that lasts. Callers that all came back after the same short
+// time would be refused again.
+func TestAdviceGrowsWithWhatIsShedAndSpreadsCallers(t *testing.T) {
+	s := approvedService(t, mesh.Lookup, 1)
+	full := call.Outcome{Verdict: verdict.NotRun, Reason: verdict.QueueFull}
+	first := s.end(s.begin(), full).Step.RetryAfter
+	must.Between(t, 100*time.Millisecond, first, 300*time.Millisecond)
+	seen := make(map[time.Duration]bool)
+	for range 100 {
+		seen[s.end(s.begin(), full).Step.RetryAfter] = true
+	}
+	must.Greater(t, 50, len(seen))
+	must.Greater(t, 700*time.Millisecond, s.end(s.begin(), full).Step.RetryAfter)
+	for range 100 {
+		s.end(s.begin(), call.Outcome{Verdict: verdict.Ran})
+	}
+	must.Less(t, 300*time.Millisecond, s.end(s.begin(), full).Step.RetryAfter)
+}
+
+// A refusal by an admission point reaches no backend server, so the next node
+// is asked whatever the class and the budget.
+func TestRefusalsByAdmissionPointsCostNoBudget(t *testing.T) {
+	s := approvedService(t, mesh.Booking, 6)
+	for range 200 {
+		c := s.begin()
+		for range 3 {
+			c = s.end(c, call.Outcome{Verdict: verdict.NotRun, Reason: verdict.QueueFull})
+			must.False(t, c.Final())
+		}
+		must.Len(t, 4, c.Attempts)
+		c = s.end(c, call.Outcome{Verdict: verdict.NotRun, Reason: verdict.QueueFull})
+		must.Eq(t, call.Refuse, c.Step.Kind)
+		must.Eq(t, verdict.NotRun, c.Step.Refusal.Verdict)
+	}
+}
+
+// Pattern: a service behind this one is full, so that every host fails alike.
+// A second run would call it again.
+func TestFailureIsTriedElsewhereOnlyWhereTheHostStandsOut(t *testing.T) {
+	s := approvedService(t, mesh.Lookup, 4)
+	for i := range s.hosts {
+		s.hosts[i].Report.Load.Failing = 30
+	}
+	failed := call.Outcome{Verdict: verdict.Ran, Failed: true, Load: mesh.Load{Slots: 6, Failing: 30}}
+	c := s.end(s.begin(), failed)
+	must.Eq(t, call.Answer, c.Step.Kind, must.Sprint("the backend server's own answer is passed on"))
+	must.Len(t, 1, c.Attempts)
+
+	for i := range s.hosts {
+		s.hosts[i].Report.Load.Failing = 0
+	}
+	c = s.end(s.begin(), failed)
+	must.Len(t, 2, c.Attempts)
+	c = s.end(c, failed)
+	must.Eq(t, call.Answer, c.Step.Kind, must.Sprint("two backend servers are the route's bound"))
+}
+
+func TestBookingThatMayHaveRunIsNeverSentAgain(t *testing.T) {
+	s := approvedService(t, mesh.Booking, 6)
+	c := s.end(s.begin(), call.Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.TransportFailed})
+	must.Eq(t, call.Refuse, c.Step.Kind)
+	must.Eq(t, verdict.MayHaveRun, c.Step.Refusal.Verdict)
+	must.Len(t, 1, c.Attempts)
+}
