A document may take longer than its announcement on a slow link

The document of 1,800 routes has some 400 KB; reads were given up 0.8 s after the time that they are held for, and hosts with links of 7 Mbit/s began anew.

--- a/front/approved/approved.go
+++ b/front/approved/approved.go
@@ -23,8 +23,10 @@
 	maxWait = 10 * time.Second
 	// maxDocument bounds a document, in bytes.
 	maxDocument = 16 << 20
-	// slack is what an answer may take beyond the time that it is held for.
-	slack = 800 * time.Millisecond
+	// slack is what the head of an answer may take beyond the time that it is
+	// held for, bodyTimeout what its body may take on a slow link.
+	slack       = 800 * time.Millisecond
+	bodyTimeout = 4 * time.Second
 
 	headerVersion = "Marigold-Version"
 )
@@ -68,8 +70,10 @@
 // Ask asks the peer that the ask names.
 func (c Client) Ask(ctx context.Context, ask tables.DocumentAsk) tables.DocumentResult {
 	result := tables.DocumentResult{Ask: ask}
-	ctx, cancel := context.WithTimeout(ctx, ask.Wait+slack)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	limit := time.AfterFunc(ask.Wait+slack, cancel)
+	defer limit.Stop()
 	address := url.URL{Scheme: "http", Host: ask.Address, Path: Path, RawQuery: url.Values{
 		"above": {strconv.FormatUint(uint64(ask.Above), 10)},
 		"wait":  {strconv.FormatInt(ask.Wait.Milliseconds(), 10)},
@@ -85,6 +89,7 @@
 		return result
 	}
 	defer answer.Body.Close()
+	limit.Reset(bodyTimeout)
 	result.Document, result.Err = c.read(answer, ask.Address)
 	return result
 }
