--- a/front/operator/operator.go
+++ b/front/operator/operator.go
@@ -48,6 +48,9 @@
 	Meter  Meter
 	// NewID makes the ID of a record that came without one.
 	NewID func() string
+	// ReadOnly is true where configuration is approved elsewhere: changes are
+	// turned away.
+	ReadOnly bool
 }
 
 // Handler builds the API's HTTP handler.
@@ -62,9 +65,9 @@
 	v1.Get("/proposals/{id:string}/diff", a.diff)
 	v1.Get("/records/{id:string}", a.record)
 	v1.Get("/watch", a.watch)
-	v1.Post("/proposals", a.propose)
+	v1.Post("/proposals", a.withChangeLog(a.propose))
 	for _, kind := range []change.Kind{change.Approve, change.Veto, change.Release, change.Withhold} {
-		v1.Post("/proposals/{id:string}/"+string(kind), a.answerProposal(kind))
+		v1.Post("/proposals/{id:string}/"+string(kind), a.withChangeLog(a.answerProposal(kind)))
 	}
 	v1.Post("/drain", a.drain(true))
 	v1.Post("/undrain", a.drain(false))
@@ -74,6 +77,16 @@
 	return app, nil
 }
 
+// withChangeLog turns a change away where the node keeps none.
+func (a *API) withChangeLog(next iris.Handler) iris.Handler {
+	if !a.ReadOnly {
+		return next
+	}
+	return func(ctx iris.Context) {
+		a.fail(ctx, NoChangeLog, "configuration is approved elsewhere; this node only follows it")
+	}
+}
+
 // authenticate finds the login of the bearer token. Every login is compared,
 // in constant time, so that the time taken tells nothing.
 func (a *API) authenticate(ctx iris.Context) {
--- a/front/operator/problem.go
+++ b/front/operator/problem.go
@@ -14,16 +14,17 @@
 
 // The codes. What becomes of a record is told by change.Refusal instead.
 const (
-	Unauthorized Code = "unauthorized" // no login has the token
-	WrongRole    Code = "wrong_role"   // the login's role may not do this
-	BadRequest   Code = "bad_request"  // the body or a parameter is malformed
-	BodyTooLarge Code = "body_too_big" // the body or the record exceeds its bound
-	NotFound     Code = "not_found"    // no such proposal or record here
-	NotOpen      Code = "not_open"     // the proposal is closed: there is no diff of it
-	Busy         Code = "busy"         // too many submissions are under way here
-	WrongHost    Code = "wrong_host"   // the node is another host's
-	StaleBase    Code = "stale_base"   // this node is at another version than the base
-	Interrupted  Code = "interrupted"  // the asker went away
+	Unauthorized Code = "unauthorized"  // no login has the token
+	WrongRole    Code = "wrong_role"    // the login's role may not do this
+	BadRequest   Code = "bad_request"   // the body or a parameter is malformed
+	BodyTooLarge Code = "body_too_big"  // the body or the record exceeds its bound
+	NotFound     Code = "not_found"     // no such proposal or record here
+	NotOpen      Code = "not_open"      // the proposal is closed: there is no diff of it
+	Busy         Code = "busy"          // too many submissions are under way here
+	WrongHost    Code = "wrong_host"    // the node is another host's
+	StaleBase    Code = "stale_base"    // this node is at another version than the base
+	Interrupted  Code = "interrupted"   // the asker went away
+	NoChangeLog  Code = "no_change_log" // configuration is approved elsewhere
 )
 
 // Problem is the body of an answer to a request that was turned away. No change
@@ -45,7 +46,7 @@
 		return http.StatusRequestEntityTooLarge
 	case NotFound:
 		return http.StatusNotFound
-	case NotOpen, WrongHost, StaleBase:
+	case NotOpen, WrongHost, StaleBase, NoChangeLog:
 		return http.StatusConflict
 	case Busy, Interrupted:
 		return http.StatusServiceUnavailable
--- a/node/node.go
+++ b/node/node.go
@@ -270,6 +270,7 @@
 	api := &operator.API{
 		Tables: n.tables, Clock: n.options.Clock, Self: n.self, Logins: n.options.Settings.Logins,
 		Meter: n.options.Metrics, NewID: uuid.NewString,
+		ReadOnly: n.options.Adapter != nil,
 	}
 	operators, err := api.Handler()
 	if err != nil {
--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/clock"
+	"github.com/marigoldshelf/marigoldshelf/decide/change"
 	"github.com/marigoldshelf/marigoldshelf/encoding/hop"
 	"github.com/marigoldshelf/marigoldshelf/internal/memnet"
 	"github.com/marigoldshelf/marigoldshelf/metrics"
@@ -26,13 +27,14 @@
 )
 
 const (
-	storeIP      = "10.200.0.1"
-	latency      = time.Millisecond
-	slots        = 6
-	work         = 100 * time.Millisecond
-	beatInterval = 1500 * time.Millisecond
-	inForce      = 2 * time.Second // the users' bound on a change
-	joinTime     = 8 * time.Second // from the start of the fleet to its first request
+	storeIP       = "10.200.0.1"
+	latency       = time.Millisecond
+	slots         = 6
+	work          = 100 * time.Millisecond
+	beatInterval  = 1500 * time.Millisecond
+	inForce       = 2 * time.Second // the users' bound on a change
+	operatorToken = "operator-secret-0001"
+	joinTime      = 8 * time.Second // from the start of the fleet to its first request
 )
 
 // host is one host of a fleet.
@@ -127,9 +129,10 @@
 			"callers": at("7100"), "peers": at("7200"), "operators": at("7300"),
 			"reports": at("7400"), "readiness": at("7500"),
 		},
-		"backend":  map[string]any{"service": h.service, "address": at("9000")},
-		"platform": map[string]string{"kind": "store", "url": "http://" + storeIP},
-		"traffic":  map[string]any{"retry_ratio": 0.2, "retry_extra": 60, "stop_within": "6s"},
+		"backend":     map[string]any{"service": h.service, "address": at("9000")},
+		"platform":    map[string]string{"kind": "store", "url": "http://" + storeIP},
+		"credentials": []map[string]any{{"name": "op", "role": change.Operator, "token": operatorToken}},
+		"traffic":     map[string]any{"retry_ratio": 0.2, "retry_extra": 60, "stop_within": "6s"},
 	})
 	must.NoError(f.t, err)
 	return data
--- a/test/platform/platform_test.go
+++ b/test/platform/platform_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -204,3 +206,28 @@
 		}
 	})
 }
+
+// The operators' listener shows the node and takes no change.
+func TestOperatorsListenerOnlyShowsTheNode(t *testing.T) {
+	inBubble(t, func(f *fleet) {
+		h := f.hosts[0]
+		ask := func(method, path string) (int, string) {
+			r, err := http.NewRequest(method, "http://"+h.ip+":7300"+path, strings.NewReader("{}"))
+			must.NoError(t, err)
+			r.Header.Set("Authorization", "Bearer "+operatorToken)
+			response, err := h.client.Do(r)
+			must.NoError(t, err)
+			defer response.Body.Close()
+			body, err := io.ReadAll(response.Body)
+			must.NoError(t, err)
+			return response.StatusCode, string(body)
+		}
+		status, body := ask(http.MethodGet, "/v1/status")
+		must.Eq(t, http.StatusOK, status)
+		must.StrContains(t, body, `"version":3`)
+		must.StrContains(t, body, f.hosts[3].ip)
+		status, body = ask(http.MethodPost, "/v1/proposals")
+		must.Eq(t, http.StatusConflict, status)
+		must.StrContains(t, body, "no_change_log")
+	})
+}
