--- a/cmd/marigold/status.go
+++ b/cmd/marigold/status.go
@@ -29,6 +29,7 @@
 	l.print("Platform: %s", platformText(s))
 	l.printZones(s)
 	l.printHosts(s)
+	l.printBackend(s)
 	l.printCounts(s)
 	return nil
 }
@@ -69,6 +70,20 @@
 	}
 }
 
+// printBackend writes the state of the node's own admission point, where its
+// backend server reports itself, and how old the loads above are.
+func (l *commandLine) printBackend(s operator.Status) {
+	if s.Backend == nil {
+		return
+	}
+	load := s.Backend.Load
+	l.print("\nOwn backend server %s is %s, heard %d ms ago: %d slots, %d busy, %d queued, %d in 100 failing",
+		s.Backend.Instance, s.Backend.Phase, s.Backend.HeardMillis, load.Slots, load.Busy, load.Queued, load.Failing)
+	for _, host := range slices.Sorted(maps.Keys(s.LoadAges)) {
+		l.print("  load of %-12s  reported %6d ms ago", host, s.LoadAges[host])
+	}
+}
+
 // versionText writes the version that a host said it serves, and marks one that
 // lags.
 func versionText(s operator.Status, host mesh.HostID) string {
--- a/decide/registration/registration.go
+++ b/decide/registration/registration.go
@@ -196,10 +196,3 @@
 	}
 	return b
 }
-
-// Answered returns the belief after an answer.
-func (b Backend) Answered() Backend {
-	b.Failures = 0
-	b.DownUntil = time.Time{}
-	return b
-}
--- a/front/operator/status.go
+++ b/front/operator/status.go
@@ -30,17 +30,34 @@
 	Members []mesh.Member `json:"members"`
 	// Loads is the load last reported by each host, as far as this node asked.
 	Loads map[mesh.HostID]mesh.Load `json:"loads"`
+	// LoadAges is how long ago each load was reported, in milliseconds.
+	LoadAges map[mesh.HostID]int64 `json:"load_age_ms,omitempty"`
+	// Backend is the own backend server, where it reports itself.
+	Backend *BackendStatus `json:"backend,omitempty"`
 	// Served is the version that each host last told this node to serve.
 	Served map[mesh.HostID]mesh.Version `json:"served"`
 	// Counts has the node's counters of refusals and retries.
 	Counts []metrics.Counted `json:"counts"`
 }
 
+// BackendStatus is what the node believes of its own backend server, and the
+// state of its admission point.
+type BackendStatus struct {
+	Instance string    `json:"instance"`
+	Phase    string    `json:"phase"`
+	Load     mesh.Load `json:"load"`
+	// HeardMillis is how long ago its last report that counted came.
+	HeardMillis int64 `json:"heard_ms"`
+}
+
 func (a *API) status(ctx iris.Context) {
 	answer := Status{Host: a.Self.Host, Zone: a.Self.Zone, Loads: map[mesh.HostID]mesh.Load{},
 		Served: map[mesh.HostID]mesh.Version{}, Counts: a.Meter.Counts()}
 	a.configStatus(&answer)
 	a.fleetStatus(&answer)
+	if a.ReadOnly {
+		a.backendStatus(&answer)
+	}
 	ctx.JSON(answer)
 }
 
@@ -83,3 +100,22 @@
 		answer.Draining = t.Drain.Get(tx).Draining
 	}, t.Members.Read(), t.Reports.Read(), t.Drain.Read(), t.ServedVersions.Read())
 }
+
+func (a *API) backendStatus(answer *Status) {
+	t := a.Tables
+	now := a.Clock.Now()
+	answer.LoadAges = make(map[mesh.HostID]int64)
+	t.Board.Do(func(tx *blackboard.Tx) {
+		b := t.Backend.Backend.Get(tx)
+		answer.Backend = &BackendStatus{
+			Instance: b.Instance, Phase: b.Phase.String(), Load: t.Occupancy.Get(tx),
+		}
+		if !b.HeardAt.IsZero() {
+			answer.Backend.HeardMillis = now.Sub(b.HeardAt).Milliseconds()
+		}
+		t.Reports.Each(tx, func(id mesh.HostID, r choose.Report) bool {
+			answer.LoadAges[id] = r.Age(now).Milliseconds()
+			return true
+		})
+	}, t.Reports.Read(), t.Backend.Backend.Read(), t.Occupancy.Read())
+}
--- a/front/pipeline/exchange.go
+++ b/front/pipeline/exchange.go
@@ -36,7 +36,6 @@
 	held    bytes.Buffer
 	onWire  bool // the head was written
 	chunked bool
-	closes  bool
 	failed  error
 }
 
@@ -227,7 +226,7 @@
 	wanted := strings.EqualFold(x.header.Get("Connection"), "close") || x.request.Close ||
 		!x.request.ProtoAtLeast(1, 1) || x.body != nil && !x.body.isEnded()
 	x.header.Del("Connection")
-	if x.closes = x.conn.mayClose(x, wanted); x.closes {
+	if x.conn.mayClose(x, wanted) {
 		x.header.Set("Connection", "close")
 	}
 	w := x.conn.writer
--- a/test/platform/platform_test.go
+++ b/test/platform/platform_test.go
@@ -226,6 +226,8 @@
 		must.Eq(t, http.StatusOK, status)
 		must.StrContains(t, body, `"version":3`)
 		must.StrContains(t, body, f.hosts[3].ip)
+		must.StrContains(t, body, `"phase":"ready"`)
+		must.StrContains(t, body, h.backend.Instance)
 		status, body = ask(http.MethodPost, "/v1/proposals")
 		must.Eq(t, http.StatusConflict, status)
 		must.StrContains(t, body, "no_change_log")
