--- a/decide/call/advice_test.go
+++ b/decide/call/advice_test.go
@@ -120,3 +120,22 @@
 	must.Eq(t, verdict.MayHaveRun, c.Step.Refusal.Verdict)
 	must.Len(t, 1, c.Attempts)
 }
+
+func TestSplitKeepsItsShares(t *testing.T) {
+	s := approvedService(t, mesh.Lookup, 1)
+	table, faults := route.CompileApproved(mesh.Approved{Version: 4, Routes: []mesh.Route{{
+		Rule:        mesh.Rule{ID: "r", HostName: "h", PathPrefix: "/", Class: mesh.Lookup, DeadlineMillis: 2000},
+		Split:       []mesh.Share{{Service: "old", Weight: 90}, {Service: "new", Weight: 10}, {Service: "off"}},
+		MaxBackends: 2,
+	}}})
+	must.SliceEmpty(t, faults)
+	s.world.Routes = table
+	const requests = 3000
+	counts := make(map[mesh.ServiceName]int)
+	for range requests {
+		counts[s.begin().Rule.Service]++
+	}
+	must.Zero(t, counts["off"])
+	must.Between(t, requests*8/100, counts["new"], requests*12/100)
+	must.Eq(t, requests, counts["new"]+counts["old"])
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -112,22 +112,6 @@
 	StopWithin Duration `json:"stop_within,omitzero"`
 }
 
-// Duration is a length of time written as a number and its unit, "1500ms".
-type Duration time.Duration
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (d *Duration) UnmarshalText(text []byte) error {
-	parsed, err := time.ParseDuration(string(text))
-	if err != nil {
-		return eris.Wrap(err, "duration")
-	}
-	*d = Duration(parsed)
-	return nil
-}
-
-// MarshalText implements encoding.TextMarshaler.
-func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
-
 // BodyIdle is the longest pause between the bytes of a body.
 func (t Traffic) BodyIdle() time.Duration { return time.Duration(t.BodyIdleMillis) * time.Millisecond }
 
@@ -136,23 +120,6 @@
 	return time.Duration(t.StopLimitMillis) * time.Millisecond
 }
 
-// The kinds of platform.
-const (
-	// LogPlatform has an append-only log; the node keeps changes and approvals.
-	LogPlatform = "log"
-	// StorePlatform has a store with approved configuration, and backend
-	// servers that report themselves.
-	StorePlatform = "store"
-)
-
-// Platform says where the platform's log service is.
-type Platform struct {
-	// Kind is "log" or "store". Default "log".
-	Kind string `json:"kind,omitempty"`
-	// URL is its address, such as "http://10.0.0.5:7000". Required.
-	URL string `json:"url"`
-}
-
 // Credential is the login of an operator or a customer. All nodes should have
 // the same ones.
 type Credential struct {
@@ -306,30 +273,6 @@
 	return c.faults
 }
 
-// platform checks what depends on the kind of platform.
-func (c *checker) platform(s Settings) {
-	switch s.Platform.Kind {
-	case LogPlatform:
-		c.between("backend.slots", s.Backend.Slots, 1, maxSlots)
-		c.unused("listen.readiness", s.Listen.Readiness)
-		c.unused("listen.reports", s.Listen.Reports)
-	case StorePlatform:
-		c.address("listen.readiness", s.Listen.Readiness)
-		c.address("listen.reports", s.Listen.Reports)
-		if s.Backend.Slots != 0 {
-			c.add("backend.slots", "is reported by the backend server itself")
-		}
-	default:
-		c.add("platform.kind", `must be "log" or "store"`)
-	}
-}
-
-func (c *checker) unused(key, value string) {
-	if value != "" {
-		c.add(key, `is for platform.kind "store"`)
-	}
-}
-
 // checker collects faults.
 type checker struct {
 	faults Faults
