After a failed read the newest configuration is looked up

Ruled out: the time that a read may take (no read failed any more). One look-up brings the newest alone.

--- a/controllers/approved/approved.go
+++ b/controllers/approved/approved.go
@@ -99,6 +99,9 @@
 			f.Reached(source, 0, r.Err)
 		}
 		state.NextAt = now.Add(f.backoff(source, state.Failures))
+		// Whatever was published meanwhile, only the newest is wanted: reading on
+		// would bring every version between, each a whole configuration.
+		state.Cursor = 0
 		state.Failures++
 		f.Sources.Put(tx, source, state)
 		return newer
