--- a/controllers/calls/calls.go
+++ b/controllers/calls/calls.go
@@ -36,7 +36,7 @@
 	// Ratio is the part of the requests for the service, 0 to 1.
 	Ratio float64
 	// Extra is the number beyond that part, in a window of some seconds.
-	Extra int
+	Extra float64
 }
 
 const (
@@ -58,7 +58,7 @@
 	}
 	return retry.Policy{
 		Ratio:    ratioShare * b.Ratio,
-		Capacity: max(extraShare*float64(b.Extra)/float64(max(nodes, 1)), 1),
+		Capacity: max(extraShare*b.Extra/float64(max(nodes, 1)), 1),
 	}
 }
 
--- a/node/reload.go
+++ b/node/reload.go
@@ -36,7 +36,7 @@
 func (r recorder) reloaded(old, fresh settings.Traffic, waits bool) {
 	if e := r.events.Line(logs.Belief, partSettings); e != nil {
 		e.Float64("retry_ratio_was", old.RetryRatio).Float64("retry_ratio", fresh.RetryRatio).
-			Int("retry_extra_was", old.RetryExtra).Int("retry_extra", fresh.RetryExtra).
+			Float64("retry_extra_was", old.RetryExtra).Float64("retry_extra", fresh.RetryExtra).
 			Bool("restart_needed", waits).Msg("settings taken")
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -103,10 +103,10 @@
 	StopLimitMillis int `json:"stop_limit_ms"`
 	// RetryRatio is the part of the requests for a service that all nodes
 	// together may send to a second backend server, 0 to 1, and RetryExtra the
-	// number that they may send beyond it. Both zero: each node goes by a
-	// budget of its own.
+	// number that they may send beyond it, which may be a fraction. Both zero:
+	// each node goes by a budget of its own.
 	RetryRatio float64 `json:"retry_ratio,omitempty"`
-	RetryExtra int     `json:"retry_extra,omitempty"`
+	RetryExtra float64 `json:"retry_extra,omitempty"`
 	// StopWithin is how long after the signal to stop the process is killed;
 	// zero for never.
 	StopWithin Duration `json:"stop_within,omitzero"`
@@ -260,7 +260,9 @@
 	if s.Traffic.RetryRatio < 0 || s.Traffic.RetryRatio > 1 {
 		c.add("traffic.retry_ratio", "must be 0 to 1")
 	}
-	c.between("traffic.retry_extra", s.Traffic.RetryExtra, 0, maxCount)
+	if s.Traffic.RetryExtra < 0 || s.Traffic.RetryExtra > maxCount {
+		c.add("traffic.retry_extra", "must be 0 to "+strconv.Itoa(maxCount))
+	}
 	if within := time.Duration(s.Traffic.StopWithin); within < 0 || within > maxStopWithin {
 		c.add("traffic.stop_within", "must be 0s to "+maxStopWithin.String())
 	}
