--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -118,7 +119,7 @@
 		Service:     s.Backend.Service,
 		Incarnation: mesh.Incarnation(o.Clock.Now().UnixNano()),
 		State:       mesh.Alive,
-		PeerAddress: n.listeners.peers.Addr().String(),
+		PeerAddress: cmp.Or(s.Listen.PeersAdvertised, n.listeners.peers.Addr().String()),
 	}
 	n.self.Life = n.self.Incarnation
 	n.self.ProbeAddress = n.listeners.probes.LocalAddr().String()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -49,6 +49,9 @@
 	Callers string `json:"callers"`
 	// Peers is for other nodes; it must be reachable from them. Required.
 	Peers string `json:"peers"`
+	// PeersAdvertised is where other nodes reach Peers, where something that
+	// forwards connections stands between. Default the address of Peers.
+	PeersAdvertised string `json:"peers_advertised,omitempty"`
 	// Operators is for operators and customers. Required.
 	Operators string `json:"operators"`
 	// Probes is for the datagrams (UDP) of membership; it must be reachable
@@ -247,6 +250,9 @@
 	c.address("listen.callers", s.Listen.Callers)
 	c.address("listen.peers", s.Listen.Peers)
 	c.address("listen.operators", s.Listen.Operators)
+	if s.Listen.PeersAdvertised != "" {
+		c.address("listen.peers_advertised", s.Listen.PeersAdvertised)
+	}
 	c.address("listen.probes", s.Listen.Probes)
 	c.peers(s.Peers)
 	c.text("backend.service", string(s.Backend.Service))
