--- a/internal/memnet/stream.go
+++ b/internal/memnet/stream.go
@@ -75,9 +75,21 @@
 	n.mu.Unlock()
 	go l.pump(nearInside, farInside, from, to)
 	go l.pump(farInside, nearInside, to, from)
-	return near, far
+	return addressed{near, portless(to)}, addressed{far, portless(from)}
 }
 
+// addressed is a connection that knows which host is at its other end.
+type addressed struct {
+	net.Conn
+	remote address
+}
+
+// RemoteAddr implements net.Conn.
+func (c addressed) RemoteAddr() net.Addr { return c.remote }
+
+// portless is a host's address on a connection, whose port nobody asks for.
+func portless(ip string) address { return address(net.JoinHostPort(ip, "0")) }
+
 // pump carries bytes one way, with the network's latency, and stalls while the
 // way is cut.
 func (l *link) pump(out, in net.Conn, from, to string) {
--- a/node/observe.go
+++ b/node/observe.go
@@ -19,7 +19,11 @@
 func (n *Node) registerObserve() {
 	report.Register(n.pool, n.tables, n.options.Metrics)
 	if n.options.Events != nil {
-		n.tables.Members.Watch(n.recordMember)
+		record := controller.Register(n.pool, "record members", func(_ time.Time, id mesh.HostID) controller.Result {
+			n.recordMember(id)
+			return controller.Result{}
+		})
+		n.tables.Members.Watch(record.Add)
 	}
 	if buffer := n.options.LogBuffer; buffer != nil {
 		flush := controller.Register(n.ioPool, "flush log", func(time.Time, int) controller.Result {
