Nodes tell each other their newest version; the store is read half as often

Each datagram of membership carries the newest version that its sender has. A node that hears of one that the store has not brought in 0.7 s asks the node that spoke of it. Reads are held 4 s, a node rests 0.6 s after a document (0.3 before) and backs off from a failing store to 1.6 s (0.8).

Ruled out: few readers for each zone. Documents of 400 KB to 18 nodes would take seconds of a 7 Mbit/s link, and two parents that are cut off at once would make their children late.

TestNodeThatSpeaksOfANewerVersionIsAsked.

--- a/controllers/approved/approved.go
+++ b/controllers/approved/approved.go
@@ -22,24 +22,30 @@
 )
 
 const (
-	// storeWait is how long the store may hold a read. It bounds how long a
-	// connection that has fallen silent goes unnoticed; each read is a call
-	// that the store bills.
-	storeWait = 2 * time.Second
+	// storeWait is how long the store may hold a read. Each read is a call that
+	// the store bills. Where the store or the connection to it falls silent,
+	// other nodes speak of the newer version within a second or two.
+	storeWait = 4 * time.Second
+	// announcedGrace is how long a version that another node spoke of may take
+	// to come from the store before that node is asked for it: a node that has
+	// just taken a version in reads the store again only after settle.
+	announcedGrace = settle + 100*time.Millisecond
 	// peerWait is how long a peer may hold an ask. Another peer is asked next,
 	// as this one may be cut off as well.
 	peerWait = 700 * time.Millisecond
 	// settle is the pause after a read that brought a document. Changes come in
-	// quick succession, and one read then brings the last of several; it is a
-	// small part of the two seconds in which a change has to be in force.
-	settle = 300 * time.Millisecond
+	// quick succession, and one read then brings the last of several. The pause
+	// and half a second for the document on a slow link leave half of the two
+	// seconds in which a change has to be in force.
+	settle = 600 * time.Millisecond
 	// silence is how long the store may be silent, beyond a held read, before
 	// peers are asked beside it.
 	silence = 600 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause after a failed read of the
-	// store; it doubles. With 13 nodes the longest costs 16 calls a second.
+	// store; it doubles. Peers are asked meanwhile, so a longer pause makes no
+	// node late; half of it more is added at random.
 	minBackoff = 100 * time.Millisecond
-	maxBackoff = 800 * time.Millisecond
+	maxBackoff = 1600 * time.Millisecond
 	// peerBackoff is the pause after an ask that failed or found no peer.
 	peerBackoff = 200 * time.Millisecond
 )
@@ -68,6 +74,7 @@
 	f := follower{t, c}
 	handle := controller.Register(p, "approved", f.reconcile)
 	t.DocumentResults.Watch(handle.Add)
+	t.Announced.Watch(func() { handle.Add(Peers) })
 	handle.Add(Store)
 	handle.Add(Peers)
 }
@@ -82,7 +89,7 @@
 		f.putInForce(newer)
 	}
 	f.Board.Do(func(tx *blackboard.Tx) { result = f.ask(tx, now, source) },
-		f.Document.Read(), f.Sources.Write(), f.Members.Read(), f.DocumentAsks.Write())
+		f.Document.Read(), f.Sources.Write(), f.Announced.Read(), f.Members.Read(), f.DocumentAsks.Write())
 	return result
 }
 
@@ -168,20 +175,47 @@
 		})
 		return controller.Result{}
 	}
-	store, _ := f.Sources.Get(tx, Store)
-	if due := store.AnsweredAt.Add(storeWait + settle + silence); now.Before(due) && store.Failures == 0 {
+	known := f.Document.Get(tx).Version
+	due, host := f.peersDue(tx, known)
+	if now.Before(due) {
 		return controller.Result{After: due.Sub(now)}
 	}
-	address, found := f.anyPeer(tx)
+	address, found := f.peerAddress(tx, host)
 	if !found {
 		return controller.Result{After: peerBackoff}
 	}
 	f.DocumentAsks.Put(tx, Peers, tables.DocumentAsk{
-		Address: address, Above: f.Document.Get(tx).Version, Wait: peerWait,
+		Address: address, Above: known, Wait: peerWait,
 	})
 	return controller.Result{}
 }
 
+// peersDue returns when a peer is to be asked beside the store, and which; no
+// host is any of them. The zero time is at once.
+func (f follower) peersDue(tx *blackboard.Tx, known mesh.Version) (due time.Time, host mesh.HostID) {
+	store, _ := f.Sources.Get(tx, Store)
+	if store.Failures > 0 {
+		return time.Time{}, ""
+	}
+	due = store.AnsweredAt.Add(storeWait + settle + silence)
+	if heard := f.Announced.Get(tx); heard.Version > known {
+		if behind := heard.HeardAt.Add(announcedGrace); behind.Before(due) {
+			return behind, heard.Host
+		}
+	}
+	return due, ""
+}
+
+// peerAddress returns where the host is asked, or any peer when it failed to
+// answer before or is not known.
+func (f follower) peerAddress(tx *blackboard.Tx, host mesh.HostID) (address string, found bool) {
+	peers, _ := f.Sources.Get(tx, Peers)
+	if member, known := f.Members.Get(tx, host); known && peers.Failures == 0 {
+		return member.PeerAddress, true
+	}
+	return f.anyPeer(tx)
+}
+
 // anyPeer draws one of the other members that answer.
 func (f follower) anyPeer(tx *blackboard.Tx) (address string, found bool) {
 	seen := 0
--- a/controllers/approved/approved_test.go
+++ b/controllers/approved/approved_test.go
@@ -105,3 +105,23 @@
 	r.answer(tables.DocumentResult{Document: document(9, "/b/")})
 	must.Eq(t, 9, r.version())
 }
+
+// The store holds a read and does not answer it, while another node speaks of a
+// newer version: that node is asked for it.
+func TestNodeThatSpeaksOfANewerVersionIsAsked(t *testing.T) {
+	r := newRig(t)
+	r.answer(tables.DocumentResult{Document: document(3, "/a/"), Cursor: 40})
+	r.tables.Board.Do(func(tx *blackboard.Tx) {
+		r.tables.Members.Put(tx, "other", mesh.Member{Host: "other", State: mesh.Alive, PeerAddress: "10.0.0.2:1"})
+		r.tables.Announced.Set(tx, tables.Announcement{Version: 5, Host: "other", HeardAt: r.clock.Now()})
+	}, r.tables.Members.Write(), r.tables.Announced.Write())
+	r.settle()
+	_, asked := r.ask(approved.Peers)
+	must.False(t, asked, must.Sprint("the store has its time first"))
+	r.clock.Advance(time.Second)
+	r.settle()
+	ask, asked := r.ask(approved.Peers)
+	must.True(t, asked)
+	must.Eq(t, "10.0.0.2:1", ask.Address)
+	must.Eq(t, 3, ask.Above)
+}
--- a/controllers/membership/receive.go
+++ b/controllers/membership/receive.go
@@ -7,6 +7,7 @@
 	"github.com/marigoldshelf/marigoldshelf/controller"
 	"github.com/marigoldshelf/marigoldshelf/decide/membership"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
+	"github.com/marigoldshelf/marigoldshelf/tables"
 )
 
 // registerReceiver adds the controller that reads the inbox; its key is the
@@ -20,12 +21,21 @@
 			}
 			f.MessagesIn.Delete(tx, number)
 			f.receive(tx, now, envelope)
-		}, f.MessagesIn.Write())
+			f.hearVersion(tx, now, envelope.Message)
+		}, f.MessagesIn.Write(), f.Announced.Write())
 		return controller.Result{}
 	})
 	f.MessagesIn.Watch(handle.Add)
 }
 
+// hearVersion notes a configuration that the sender has and nobody spoke of
+// before.
+func (f fleet) hearVersion(tx *blackboard.Tx, now time.Time, m membership.Message) {
+	if m.Version > f.Announced.Get(tx).Version {
+		f.Announced.Set(tx, tables.Announcement{Version: m.Version, Host: m.From, HeardAt: now})
+	}
+}
+
 func (f fleet) receive(tx *blackboard.Tx, now time.Time, e membership.Envelope) {
 	m := e.Message
 	f.noticeSleep(tx, now)
--- a/decide/membership/message.go
+++ b/decide/membership/message.go
@@ -48,6 +48,8 @@
 	Sequence uint64
 	// Target is the member probed.
 	Target mesh.HostID
+	// Version is the newest configuration that the sender has; zero for none.
+	Version mesh.Version
 	// Sees is the incarnation under which the sender of an Ack holds the
 	// receiver to be up; zero when it does not.
 	Sees    mesh.Incarnation
--- a/encoding/probe/probe.go
+++ b/encoding/probe/probe.go
@@ -21,7 +21,7 @@
 	// tagLength is the length of the keyed digest, in bytes.
 	tagLength = 16
 	// fields is the number of fields after the format.
-	fields = 10
+	fields = 11
 	// recordFields is the number of fields of a record.
 	recordFields = 11
 	// reachFields is the number of fields of a zone's reach.
@@ -124,6 +124,7 @@
 	w.number(uint64(m.Incarnation))
 	w.number(m.Sequence)
 	w.text(string(m.Target))
+	w.number(uint64(m.Version))
 	w.number(uint64(m.Sees))
 	w.records(m.News)
 	w.reaches(m.Reaches)
@@ -254,6 +255,7 @@
 	m.Incarnation = mesh.Incarnation(r.number())
 	m.Sequence = r.number()
 	m.Target = mesh.HostID(r.text())
+	m.Version = mesh.Version(r.number())
 	m.Sees = mesh.Incarnation(r.number())
 	m.News = r.records()
 	m.Reaches = r.reaches()
--- a/front/probe/probe.go
+++ b/front/probe/probe.go
@@ -15,6 +15,7 @@
 	"github.com/marigoldshelf/marigoldshelf/controller"
 	"github.com/marigoldshelf/marigoldshelf/decide/membership"
 	"github.com/marigoldshelf/marigoldshelf/encoding/probe"
+	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 )
 
@@ -50,6 +51,9 @@
 	Tables *tables.Tables
 	Socket net.PacketConn
 	Codec  probe.Codec
+	// Version is told to the nodes that datagrams go to: the newest
+	// configuration that this one has; nil tells none.
+	Version func() mesh.Version
 	// Count takes the events with their sizes in bytes.
 	Count func(e Event, bytes int)
 }
@@ -73,6 +77,9 @@
 }
 
 func (f Front) send(e membership.Envelope) {
+	if f.Version != nil {
+		e.Message.Version = f.Version()
+	}
 	data, err := f.Codec.Encode(e.Message)
 	if err != nil {
 		f.Count(EventNotSent, 0)
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -9,6 +9,7 @@
 	timing "github.com/marigoldshelf/marigoldshelf/decide/membership"
 	codec "github.com/marigoldshelf/marigoldshelf/encoding/probe"
 	"github.com/marigoldshelf/marigoldshelf/front/probe"
+	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/verdict"
 )
 
@@ -39,6 +40,9 @@
 		Tables: n.tables,
 		Socket: n.listeners.probes,
 		Codec:  codec.NewCodec(n.options.Settings.Peers.Secret),
+		// Without approved documents it stays zero: versions of the change log
+		// have ways of their own.
+		Version: func() mesh.Version { return n.tables.Document.Load().Version },
 		Count: func(e probe.Event, bytes int) {
 			n.options.Metrics.Count(countDatagram, verdict.Reason(e))
 			n.options.Metrics.Add("datagram_bytes_"+string(e), int64(bytes))
--- a/tables/approved.go
+++ b/tables/approved.go
@@ -51,6 +51,14 @@
 	Cursor int64
 }
 
+// Announcement is a newer document that another node says it has.
+type Announcement struct {
+	Version mesh.Version
+	Host    mesh.HostID
+	// HeardAt is when the version was first heard of.
+	HeardAt time.Time
+}
+
 // Approved has the tables of configuration that is approved before it reaches
 // the node.
 type Approved struct {
@@ -59,6 +67,9 @@
 	// Sources is the state of each source: the store, and the peers as one.
 	// Written by the controller approved.
 	Sources *blackboard.Table[string, SourceState]
+	// Announced is the newest document that another node has spoken of. Written
+	// by the controllers of membership.
+	Announced *blackboard.Cell[Announcement]
 	// DocumentAsks is the outbox, DocumentResults the inbox, by source.
 	DocumentAsks    *blackboard.Table[string, DocumentAsk]
 	DocumentResults *blackboard.Table[string, DocumentResult]
@@ -68,6 +79,7 @@
 	return Approved{
 		Document:        blackboard.NewCell[Document](b, "document", rankDocument),
 		Sources:         blackboard.NewTable[string, SourceState](b, "sources", rankSources),
+		Announced:       blackboard.NewCell[Announcement](b, "announced", rankAnnounced),
 		DocumentAsks:    blackboard.NewTable[string, DocumentAsk](b, "document_asks", rankDocumentAsks),
 		DocumentResults: blackboard.NewTable[string, DocumentResult](b, "document_results", rankDocumentResults),
 	}
--- a/tables/order.go
+++ b/tables/order.go
@@ -18,6 +18,7 @@
 	rankSubmissions blackboard.Rank = 120
 	rankDocument    blackboard.Rank = 130
 	rankSources     blackboard.Rank = 132
+	rankAnnounced   blackboard.Rank = 134
 
 	// Distribution: 150 to 199.
 	rankRole           blackboard.Rank = 150
