A host whose load was heard long ago is taken for as loaded as the others

Cause: a reported load faded towards none within half a second.

TestFullHostHeardOfLongAgoIsNotTakenForIdle failed before.

--- a/decide/choose/choose.go
+++ b/decide/choose/choose.go
@@ -93,11 +93,11 @@
 	if len(pool) == 0 {
 		return Candidate{}, false
 	}
-	typical := typicalLatency(q.Class, pool)
+	usual := typical{latency: typicalLatency(q.Class, pool), load: typicalLoad(q.Now, pool)}
 	var best Candidate
 	lowest := -1.0
 	for _, c := range draw(q, pool) {
-		if price := cost(q, c, typical); lowest < 0 || price < lowest {
+		if price := cost(q, c, usual); lowest < 0 || price < lowest {
 			best, lowest = c, price
 		}
 	}
@@ -162,14 +162,20 @@
 	return append(to, from[first], from[second])
 }
 
+// typical is what is expected of a host that nothing recent is known of.
+type typical struct {
+	latency float64 // nanoseconds
+	load    float64 // work for each slot
+}
+
 // cost is the time that a request can be expected to take at the candidate,
 // in nanoseconds: its latency, times how far its slots are taken.
-func cost(q Query, c Candidate, typical float64) float64 {
-	latency := c.Report.expected(q.Now, q.Class, typical)
+func cost(q Query, c Candidate, usual typical) float64 {
+	latency := c.Report.expected(q.Now, q.Class, usual.latency)
 	if quiet := float64(q.Now.Sub(c.InFlight.Since)); c.InFlight.Count > 0 && quiet > silence*latency {
 		latency = quiet
 	}
-	price := latency * (1 + pressure(q.Now, c)) * (1 + failureFactor*c.Report.failing(q.Now))
+	price := latency * (1 + pressure(q.Now, c, usual.load)) * (1 + failureFactor*c.Report.failing(q.Now))
 	switch {
 	case c.Zone == q.Zone:
 		return price
@@ -182,13 +188,30 @@
 }
 
 // pressure is the work in the way for each slot. A host that has reported
-// nothing yet counts as one slot, so that it is tried gently.
-func pressure(now time.Time, c Candidate) float64 {
-	work := max(c.Report.work(now), float64(c.InFlight.Count))
-	full := work / float64(max(c.Report.Load.Slots, 1))
+// nothing yet counts as one slot of its own requests, so that it is tried gently.
+func pressure(now time.Time, c Candidate, usual float64) float64 {
+	own := float64(c.InFlight.Count) / float64(max(c.Report.Load.Slots, 1))
+	full := max(c.Report.load(now, usual), own)
 	return full + full*full
 }
 
+// typicalLoad is the mean of the candidates' loads, the newer the reports the
+// more they count; zero when none reported.
+func typicalLoad(now time.Time, pool []Candidate) float64 {
+	total, weights := 0.0, 0.0
+	for _, c := range pool {
+		if c.Report.Load.Slots > 0 {
+			weight := fade(now.Sub(c.Report.At), loadAging)
+			total += weight * c.Report.reported()
+			weights += weight
+		}
+	}
+	if weights == 0 {
+		return 0
+	}
+	return total / weights
+}
+
 // typicalLatency is the median of the candidates' latencies, in nanoseconds.
 func typicalLatency(class mesh.Class, pool []Candidate) float64 {
 	known := make([]time.Duration, 0, len(pool))
--- a/decide/choose/choose_test.go
+++ b/decide/choose/choose_test.go
@@ -94,3 +94,16 @@
 	list[0].InFlight = choose.InFlight{Count: 1, Since: start.Add(-200 * time.Millisecond)}
 	must.Zero(t, share(list, first))
 }
+
+// Pattern: a service that is full, in a fleet so large that each node hears of
+// a host once in a second or more. What was last heard of the far hosts is old;
+// taken for idle they would get what the near ones have room for.
+func TestFullHostHeardOfLongAgoIsNotTakenForIdle(t *testing.T) {
+	list := hosts(8, func(bool) int { return 11 })
+	for i, c := range list {
+		if isFar(c) {
+			list[i].Report.At = start.Add(-3 * time.Second)
+		}
+	}
+	must.Zero(t, share(list, isFar))
+}
--- a/decide/choose/report.go
+++ b/decide/choose/report.go
@@ -135,9 +135,16 @@
 	return now.Before(r.EjectedUntil) || now.Before(r.DrainingUntil)
 }
 
-// work is the reported work, less as the report ages.
-func (r Report) work(now time.Time) float64 {
-	return float64(r.Load.Busy+r.Load.Queued) * fade(now.Sub(r.At), loadAging)
+// reported is the reported work for each slot; zero when none was reported.
+func (r Report) reported() float64 {
+	return float64(r.Load.Busy+r.Load.Queued) / float64(max(r.Load.Slots, 1))
+}
+
+// load is the reported work for each slot, drawn towards the usual as the
+// report ages. Towards none, a full host would look idle to those that heard of
+// it a second ago, which is most nodes of a large fleet.
+func (r Report) load(now time.Time, usual float64) float64 {
+	return usual + (r.reported()-usual)*fade(now.Sub(r.At), loadAging)
 }
 
 // failing is the reported part of requests that fail, less as the report ages.
