--- a/controllers/admission/admission.go
+++ b/controllers/admission/admission.go
@@ -49,7 +49,7 @@
 	if load != t.Occupancy.Get(tx) {
 		t.Occupancy.Set(tx, load)
 	}
-	return controller.Result{After: next(now, grows, present)}
+	return controller.Result{After: next(now, grows, limits.Service, present)}
 }
 
 func dropFinished(tx *blackboard.Tx, t *tables.Tables, now time.Time) (present []admit.Request) {
@@ -88,9 +88,10 @@
 	}
 }
 
-// next is the time until a waiting request's deadline or the next slot; zero
-// when there is neither.
-func next(now, grows time.Time, rows []admit.Request) (after time.Duration) {
+// next is the time until a waiting request can no longer end before its
+// deadline, or until the next slot; zero when there is neither. Refused then and
+// not at the deadline itself, the word that it has not run is back in time.
+func next(now, grows time.Time, times admit.ServiceTimes, rows []admit.Request) (after time.Duration) {
 	earlier := func(due time.Time) {
 		if left := max(due.Sub(now), time.Millisecond); after == 0 || left < after {
 			after = left
@@ -101,7 +102,7 @@
 	}
 	for _, r := range rows {
 		if r.State == admit.Waiting {
-			earlier(r.Deadline)
+			earlier(r.Deadline.Add(-times.Fast(r.Class)))
 		}
 	}
 	return after
--- /dev/null
+++ b/controllers/admission/admission_test.go
@@ -0,0 +1,57 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/marigoldshelf/marigoldshelf/blackboard"
+	"github.com/marigoldshelf/marigoldshelf/clock"
+	"github.com/marigoldshelf/marigoldshelf/controller"
+	"github.com/marigoldshelf/marigoldshelf/controllers/admission"
+	"github.com/marigoldshelf/marigoldshelf/decide/admit"
+	"github.com/marigoldshelf/marigoldshelf/mesh"
+	"github.com/marigoldshelf/marigoldshelf/tables"
+	"github.com/marigoldshelf/marigoldshelf/verdict"
+)
+
+// Pattern: a backend server that hangs, so that nothing else wakes the
+// controller. What waits behind the stuck request is told that it has not run
+// while that can still reach its caller.
+func TestRequestBehindAStuckOneIsRefusedBeforeItsDeadline(t *testing.T) {
+	time0 := time.Unix(1_700_000_000, 0)
+	virtual := clock.NewVirtual(time0)
+	pool := controller.New(virtual, 1)
+	board := tables.New(blackboard.New(blackboard.CheckOrder()))
+	admission.Register(pool, board)
+	admission.Start(board, time0, admit.Limits{Slots: 1, Queue: 2, Ranked: true})
+	put := func(r admit.Request) {
+		board.Board.Do(func(tx *blackboard.Tx) { board.Admissions.Put(tx, r.ID, r) }, board.Admissions.Write())
+		pool.Settle(100)
+	}
+	get := func(id string) (r admit.Request) {
+		board.Board.Do(func(tx *blackboard.Tx) { r, _ = board.Admissions.Get(tx, id) }, board.Admissions.Read())
+		return r
+	}
+	request := func(id string) admit.Request {
+		now := virtual.Now()
+		return admit.Request{ID: id, Class: mesh.Booking, Arrived: now, Deadline: now.Add(time.Second), State: admit.Waiting}
+	}
+	// One request of 400 ms teaches that none takes less than 200 ms.
+	put(request("learned"))
+	virtual.Advance(400 * time.Millisecond)
+	done := get("learned")
+	done.State, done.Whole = admit.Finished, true
+	put(done)
+	put(request("stuck"))
+	put(request("behind"))
+	must.Eq(t, admit.Granted, get("stuck").State)
+	virtual.Advance(790 * time.Millisecond)
+	pool.Settle(100)
+	must.Eq(t, admit.Waiting, get("behind").State)
+	virtual.Advance(20 * time.Millisecond)
+	pool.Settle(100)
+	must.Eq(t, admit.Refused, get("behind").State)
+	must.Eq(t, verdict.DeadlineTooShort, get("behind").Reason)
+}
--- a/decide/call/advice_test.go
+++ b/decide/call/advice_test.go
@@ -139,3 +139,28 @@
 	must.Between(t, requests*8/100, counts["new"], requests*12/100)
 	must.Eq(t, requests, counts["new"]+counts["old"])
 }
+
+// Pattern: a crest in which every node is full. Lookups stop going round, which
+// costs the full nodes most; bookings go on.
+func TestLookupsAskFewerNodesWhileAllAreFull(t *testing.T) {
+	full := call.Outcome{Verdict: verdict.NotRun, Reason: verdict.QueueFull}
+	tries := func(s *service) int {
+		c := s.begin()
+		for !c.Final() {
+			c = s.end(c, full)
+		}
+		return len(c.Attempts)
+	}
+	lookups, bookings := approvedService(t, mesh.Lookup, 6), approvedService(t, mesh.Booking, 6)
+	must.Eq(t, 4, tries(lookups))
+	for range 100 {
+		tries(lookups)
+		tries(bookings)
+	}
+	must.Eq(t, 2, tries(lookups))
+	must.Eq(t, 4, tries(bookings))
+	for range 100 {
+		lookups.end(lookups.begin(), call.Outcome{Verdict: verdict.Ran})
+	}
+	must.Eq(t, 4, tries(lookups))
+}
--- a/decide/call/continue.go
+++ b/decide/call/continue.go
@@ -118,7 +118,7 @@
 		}
 		return c.sendAgain(now, w, last)
 	}
-	if !c.mayRetry(last) || last.Failed && !c.stoodOut(last, w) {
+	if !c.mayRetry(last, *w.Service(c.Rule.Service)) || last.Failed && !c.stoodOut(last, w) {
 		return c.giveUp(last.Reason, w)
 	}
 	if !c.isFree(last) {
@@ -136,10 +136,27 @@
 	return c.sendAgain(now, w, last)
 }
 
-// maxTries bounds the nodes that one request is taken to while none of them
-// passes it on. Each costs a round trip between nodes; past four the service
-// as a whole is full.
-const maxTries = 4
+const (
+	// maxTries bounds the nodes that one request is taken to while none of them
+	// passes it on. Each costs a round trip between nodes; past four the service
+	// as a whole is full.
+	maxTries = 4
+	// minTries is the same for lookups to a service that turns most away.
+	minTries = 2
+	// sheddingPerTry is the part of the latest requests, turned away by every
+	// node asked, that takes one try off.
+	sheddingPerTry = 0.15
+)
+
+// triesFor is how many nodes a request is taken to. In a crest each further try
+// finds room more seldom, and what it costs the node asked is missing there for
+// the requests that it has admitted; a lookup is better told to come back.
+func (c Call) triesFor(s Service) int {
+	if c.Rule.Class != mesh.Lookup {
+		return maxTries
+	}
+	return max(maxTries-int(s.Shedding/sheddingPerTry), minTries)
+}
 
 // isFree reports whether the next node is asked at once and without drawing on
 // the retry budget. A drain says nothing of the load elsewhere. Where the route
@@ -190,18 +207,18 @@
 }
 
 // mayTryMore reports whether the bound on attempts leaves another one.
-func (c Call) mayTryMore() bool {
+func (c Call) mayTryMore(s Service) bool {
 	if c.MaxBackends > 0 {
-		return c.reached() < c.MaxBackends && len(c.Attempts) < maxTries
+		return c.reached() < c.MaxBackends && len(c.Attempts) < c.triesFor(s)
 	}
 	return c.retries() < c.Rule.Retries
 }
 
 // mayRetry reports whether another attempt is safe and allowed. It is safe
 // when no attempt can have run, or when the class may run more than once.
-func (c Call) mayRetry(last Outcome) bool {
+func (c Call) mayRetry(last Outcome, s Service) bool {
 	safe := c.worst() == verdict.NotRun || c.Rule.Class.Idempotent()
-	return safe && last.Replayable && !last.Exhausted && c.mayTryMore()
+	return safe && last.Replayable && !last.Exhausted && c.mayTryMore(s)
 }
 
 // sendAgain makes another attempt. When there is no other backend server, one
