SIGHUP ends no node: it stays caught from the first moment to the last

Its log ends without the stop's own end, at the moment at which the soak had sent SIGHUP: the watcher of the settings file gave the signal back to its default once the stop began. A node that had just started was open to it as well.

Ruled out: the drain (its state was not done), a panic (nothing on stderr). TestHangupEndsNoNode failed before with "signal: hangup".

--- a/cmd/marigoldd/main.go
+++ b/cmd/marigoldd/main.go
@@ -34,13 +34,13 @@
 	var args arguments
 	kong.Parse(&args, kong.Name("marigoldd"), kong.Description("The marigoldshelf node."))
 	log := logs.New(os.Stderr, "node")
-	if err := run(args, log); err != nil {
+	if err := run(args, catchHangups(), log); err != nil {
 		log.Error("stopped", err)
 		os.Exit(1)
 	}
 }
 
-func run(args arguments, log *logs.Logger) error {
+func run(args arguments, hangups <-chan os.Signal, log *logs.Logger) error {
 	checked, err := settings.Load(args.Settings)
 	if err != nil {
 		return err
@@ -69,7 +69,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	log.Info("started")
-	go watchSettings(ctx, args.Settings, n)
+	go watchSettings(ctx, args.Settings, hangups, n)
 	return n.Run(ctx)
 }
 
--- a/cmd/marigoldd/watch.go
+++ b/cmd/marigoldd/watch.go
@@ -16,12 +16,18 @@
 // without a signal, and a look costs one read of some hundred bytes.
 const watchInterval = 2 * time.Second
 
-// watchSettings takes the settings file into use when it changes, with SIGHUP
-// and without, until ctx ends. A file with faults changes nothing.
-func watchSettings(ctx context.Context, path string, n *node.Node) {
+// catchHangups returns where SIGHUP arrives. It stays caught to the end of the
+// process: by default it would end a node that has just started, or one that is
+// stopping and has requests under way.
+func catchHangups() <-chan os.Signal {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+	return hangups
+}
+
+// watchSettings takes the settings file into use when it changes, with a hangup
+// and without, until ctx ends. A file with faults changes nothing.
+func watchSettings(ctx context.Context, path string, hangups <-chan os.Signal, n *node.Node) {
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
 	known, err := os.ReadFile(path)
--- a/test/process/process.go
+++ b/test/process/process.go
@@ -91,6 +91,9 @@
 // Terminate asks the process to stop.
 func (p *Process) Terminate() { _ = p.command.Process.Signal(syscall.SIGTERM) }
 
+// Hangup tells the process that its settings have changed.
+func (p *Process) Hangup() { _ = p.command.Process.Signal(syscall.SIGHUP) }
+
 // Wait returns how the process ended, or the context's error when it has not
 // ended in time.
 func (p *Process) Wait(ctx context.Context) error {
--- a/test/process/recovery_test.go
+++ b/test/process/recovery_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -78,3 +79,17 @@
 	process.Call(t, late.Operators, process.OperatorToken, "GET", "/v1/configuration", nil, &answer)
 	must.MapLen(t, len(config.Hosts), answer.Config.Hosts)
 }
+
+// A node that stops gets word of changed settings, as one that has just started
+// may: it ends by its stop and not by the signal.
+func TestHangupEndsNoNode(t *testing.T) {
+	fleet := process.NewFleet(t)
+	n := fleet.Add("fes-1", "fes", "desk")
+	n.Process.Hangup()
+	n.Process.Terminate()
+	for range 10 {
+		time.Sleep(100 * time.Millisecond)
+		n.Process.Hangup()
+	}
+	must.NoError(t, n.Process.Wait(t.Context()))
+}
