A fleet that starts calls the store less

A source without a document is looked at again after a second. A newcomer gives the contacts of a read half a second before it reads on.

Tried and not kept: reads held for 8 s. TestStoreThatForgetsAndFallsSilentIs- FollowedAgain failed: after the store was silent for all, swallowed reads are given up only after the hold, and nobody has the change to tell of.

--- a/controllers/approved/approved.go
+++ b/controllers/approved/approved.go
@@ -23,8 +23,10 @@
 
 const (
 	// storeWait is how long the store may hold a read. Each read is a call that
-	// the store bills. Where the store or the connection to it falls silent,
-	// other nodes speak of the newer version within a second or two.
+	// the store bills. Where one node's connection to it falls silent, others
+	// speak of the newer version within a second or two. Where the store itself
+	// was silent for all, the reads that it swallowed are given up only after
+	// this and some slack, so a longer hold would make the whole fleet late.
 	storeWait = 4 * time.Second
 	// announcedGrace is how long a version that another node spoke of may take
 	// to come from the store before that node is asked for it: a node that has
@@ -38,6 +40,9 @@
 	// and half a second for the document on a slow link leave half of the two
 	// seconds in which a change has to be in force.
 	settle = 600 * time.Millisecond
+	// emptyPause is the pause after a look at a source that has no document yet:
+	// nothing is served before the first one, which comes seconds before callers.
+	emptyPause = time.Second
 	// silence is how long the store may be silent, beyond a held read, before
 	// peers are asked beside it.
 	silence = 600 * time.Millisecond
@@ -117,9 +122,12 @@
 		f.Reached(source, state.Failures, nil)
 	}
 	state = tables.SourceState{AnsweredAt: now, Cursor: r.Cursor}
-	if r.Document.Version > f.Document.Get(tx).Version {
+	switch known := f.Document.Get(tx).Version; {
+	case r.Document.Version > known:
 		newer = r.Document
 		state.NextAt = now.Add(settle)
+	case source == Store && r.Cursor == 0:
+		state.NextAt = now.Add(emptyPause)
 	}
 	f.Sources.Put(tx, source, state)
 	return newer
--- a/controllers/membership/announce.go
+++ b/controllers/membership/announce.go
@@ -23,6 +23,10 @@
 	// joinPatience is how long contacts are tried before the node announces
 	// itself.
 	joinPatience = 3 * time.Second
+	// contactPatience is how long the contacts that a read named are tried before
+	// the next read. One that lives answers within two round trips; a fleet that
+	// starts at once would else read the stream anew at each announcement.
+	contactPatience = 500 * time.Millisecond
 	// retryDelay is the mean pause after a failed read or announcement.
 	retryDelay = time.Second
 	// readWait is how long the platform holds a newcomer's read.
@@ -108,7 +112,10 @@
 	if len(batch.Records) == 0 {
 		f.beAlone(tx, self)
 	}
-	if len(batch.Records) > 0 || !self.Joined {
+	switch {
+	case len(batch.Records) > 0 && !self.Joined:
+		return contactPatience
+	case len(batch.Records) > 0 || !self.Joined:
 		return 0
 	}
 	return f.around(lookInterval)
--- a/tables/approved.go
+++ b/tables/approved.go
@@ -36,8 +36,9 @@
 	Ask DocumentAsk
 	// Document has version zero when there is nothing newer.
 	Document Document
-	Cursor   int64
-	Err      error
+	// Cursor is where to read on; zero while nothing was ever published.
+	Cursor int64
+	Err    error
 }
 
 // SourceState is how a source of documents has answered lately.
