Routes of kind download, of unknown kinds and unreadable ones no longer empty the fleet

Change: class download (idempotent, large response). A route of an unknown kind runs at most once; a route of which only the match can be read is refused with its own reason, since dropping it would send its requests to a shorter prefix; a route without a readable match rejects the version as before. A document that cannot be decoded is a rejected document and not a lost source: it is reported once at level warn, counted, shown by marigold status and /readiness, and named in refusals. The rejected version no longer takes the place of the one in force, so a restarted node can fetch the last good one from a peer.

--- a/cmd/marigold/status.go
+++ b/cmd/marigold/status.go
@@ -24,6 +24,9 @@
 	}
 	l.print("Node %s in %s serves version %d; version %d is decided (log read to %d, %d proposals open).",
 		s.Host, s.Zone, s.Version, s.DecidedVersion, s.Offset, s.OpenProposals)
+	if s.RejectedReason != "" {
+		l.print("Version %d was rejected: %s", s.RejectedVersion, s.RejectedReason)
+	}
 	if s.Draining {
 		l.print("This host is draining.")
 	}
--- a/controllers/approved/approved.go
+++ b/controllers/approved/approved.go
@@ -6,6 +6,7 @@
 package approved
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -72,9 +73,9 @@
 	// OnActivated is called with each document that was put in force and the
 	// version that was in force before; zero for none. No table is locked.
 	OnActivated func(d tables.Document, previous mesh.Version)
-	// OnRejected is called with each document that has faults and is therefore
-	// not put in force. No table is locked.
-	OnRejected func(d tables.Document, f route.Faults)
+	// OnRejected is called with each document that cannot be decoded or has
+	// faults, and is therefore not put in force. No table is locked.
+	OnRejected func(tables.RejectedDocument)
 	// OnSourceChange is called with the error when a source fails to answer for
 	// the first time, and with a nil error and the number of consecutive
 	// failures when it answers again. It is called inside a transaction.
@@ -101,23 +102,28 @@
 // is due. The document is compiled outside a transaction.
 func (f documentFetcher) reconcile(now time.Time, source string) (result controller.Result) {
 	var newer tables.Document
-	f.Board.Do(func(tx *blackboard.Tx) { newer = f.processResult(tx, now, source) },
-		f.Document.Read(), f.Sources.Write(), f.DocumentResults.Write())
+	var rejected tables.RejectedDocument
+	f.Board.Do(func(tx *blackboard.Tx) { newer, rejected = f.processResult(tx, now, source) },
+		f.Document.Read(), f.Rejected.Write(), f.Sources.Write(), f.DocumentResults.Write())
 	if newer.Version > 0 {
-		f.activate(newer)
+		rejected = f.activate(newer, source)
+	}
+	if rejected.Reason != "" {
+		f.OnRejected(rejected)
 	}
 	f.Board.Do(func(tx *blackboard.Tx) { result = f.requestNext(tx, now, source) },
-		f.Document.Read(), f.Sources.Write(), f.Announced.Read(), f.Members.Read(), f.DocumentRequests.Write())
+		f.Document.Read(), f.Rejected.Read(), f.Sources.Write(), f.Announced.Read(), f.Members.Read(), f.DocumentRequests.Write())
 	return result
 }
 
 // processResult updates the state of the source from its answer, if there is
 // one. It returns the document if its version is newer than the known one, else
-// a document with version zero.
-func (f documentFetcher) processResult(tx *blackboard.Tx, now time.Time, source string) (newer tables.Document) {
+// a document with version zero, and the document that could not be decoded, if
+// there is one.
+func (f documentFetcher) processResult(tx *blackboard.Tx, now time.Time, source string) (newer tables.Document, rejected tables.RejectedDocument) {
 	r, found := f.DocumentResults.Get(tx, source)
 	if !found {
-		return newer
+		return newer, rejected
 	}
 	f.DocumentResults.Delete(tx, source)
 	state, _ := f.Sources.Get(tx, source)
@@ -131,21 +137,25 @@
 		state.Cursor = 0
 		state.Failures++
 		f.Sources.Put(tx, source, state)
-		return newer
+		return newer, rejected
 	}
 	if state.Failures > 0 {
 		f.OnSourceChange(source, state.Failures, nil)
 	}
 	state = tables.SourceState{AnsweredAt: now, Cursor: r.Cursor}
-	switch known := f.Document.Get(tx).Version; {
-	case r.Document.Version > known:
+	switch {
+	case r.Rejected.Reason != "" && (r.Rejected.Version == 0 || r.Rejected.Version > f.Document.Get(tx).Version):
+		rejected = r.Rejected
+		f.Rejected.Set(tx, rejected)
+		state.NextAt = now.Add(batchDelay)
+	case r.Document.Version > f.Document.Get(tx).Version:
 		newer = r.Document
 		state.NextAt = now.Add(batchDelay)
 	case source == SourceStore && r.Cursor == 0:
 		state.NextAt = now.Add(emptyStoreDelay)
 	}
 	f.Sources.Put(tx, source, state)
-	return newer
+	return newer, rejected
 }
 
 // backoff returns the delay before the next request to a source that failed to
@@ -158,32 +168,45 @@
 	return mean/2 + time.Duration(f.Random.Int64N(int64(mean)))
 }
 
-// activate compiles a document and puts it in force. A document with faults is
-// only stored in the table Document, so that it is not requested again; the
-// configuration in force does not change.
-func (f documentFetcher) activate(d tables.Document) {
+// activate compiles a document and puts it in force. It returns a document with
+// faults as rejected, once; the configuration in force does not change.
+func (f documentFetcher) activate(d tables.Document, source string) (rejected tables.RejectedDocument) {
 	table, faults := route.CompileApproved(*d.Config)
 	var previous mesh.Version
 	activated := false
 	f.Board.Do(func(tx *blackboard.Tx) {
-		if d.Version <= f.Document.Get(tx).Version {
-			return
-		}
-		if current := f.Routes.Get(tx); current != nil {
-			previous = current.Version
-		}
-		f.Document.Set(tx, d)
-		if len(faults) == 0 {
+		before := f.Rejected.Get(tx)
+		switch {
+		case d.Version <= f.Document.Get(tx).Version:
+		case len(faults) > 0:
+			if d.Version != before.Version {
+				rejected = tables.RejectedDocument{Version: d.Version, Source: d.Source, Reason: summarize(faults)}
+				f.Rejected.Set(tx, rejected)
+			}
+		default:
+			if current := f.Routes.Get(tx); current != nil {
+				previous = current.Version
+			}
+			f.Document.Set(tx, d)
 			f.Routes.Set(tx, table)
+			// A peer can hold an older version than the rejected one, whose
+			// number is zero when it could not be read.
+			if d.Version > before.Version && (before.Version > 0 || source == SourceStore) {
+				f.Rejected.Set(tx, tables.RejectedDocument{})
+			}
 			activated = true
 		}
-	}, f.Routes.Write(), f.Document.Write())
-	switch {
-	case activated:
+	}, f.Routes.Write(), f.Document.Write(), f.Rejected.Write())
+	if activated {
 		f.OnActivated(d, previous)
-	case len(faults) > 0:
-		f.OnRejected(d, faults)
 	}
+	return rejected
+}
+
+// summarize returns the number of faults and the first one: a configuration of
+// thousands of routes can have as many faults.
+func summarize(faults route.Faults) string {
+	return fmt.Sprintf("%d faults, the first: %s", len(faults), faults[:1].Error())
 }
 
 // requestNext puts the next request to the source into the outbox
@@ -198,7 +221,7 @@
 	}
 	if source == SourceStore {
 		f.DocumentRequests.Put(tx, SourceStore, tables.DocumentRequest{
-			NewerThan: f.Document.Get(tx).Version, Cursor: state.Cursor, Wait: storeWait,
+			NewerThan: max(f.Document.Get(tx).Version, f.Rejected.Get(tx).Version), Cursor: state.Cursor, Wait: storeWait,
 		})
 		return controller.Result{}
 	}
@@ -225,7 +248,7 @@
 		return time.Time{}, ""
 	}
 	due = store.AnsweredAt.Add(storeWait + batchDelay + storeSilenceTimeout)
-	if announced := f.Announced.Get(tx); announced.Version > known {
+	if announced := f.Announced.Get(tx); announced.Version > known && announced.Version != f.Rejected.Get(tx).Version {
 		if overdue := announced.ReceivedAt.Add(announcementGrace); overdue.Before(due) {
 			return overdue, announced.Host
 		}
--- a/controllers/approved/approved_test.go
+++ b/controllers/approved/approved_test.go
@@ -12,7 +12,6 @@
 	"github.com/marigoldshelf/marigoldshelf/clock"
 	"github.com/marigoldshelf/marigoldshelf/controller"
 	"github.com/marigoldshelf/marigoldshelf/controllers/approved"
-	"github.com/marigoldshelf/marigoldshelf/decide/route"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 )
@@ -34,7 +33,7 @@
 	approved.Register(h.pool, h.tables, approved.Config{
 		Self: "self", Random: rand.New(rand.NewPCG(1, 2)),
 		OnActivated:    func(tables.Document, mesh.Version) {},
-		OnRejected:     func(tables.Document, route.Faults) { h.rejected++ },
+		OnRejected:     func(tables.RejectedDocument) { h.rejected++ },
 		OnSourceChange: func(string, int, error) {},
 	})
 	h.settle()
@@ -110,6 +109,48 @@
 	must.Eq(t, 9, h.activeVersion())
 }
 
+// Guards against treating a document that cannot be decoded as a source that is
+// lost: the read would be repeated with a short delay and fail each time, and the
+// node would report an outage of the store instead of the document.
+func TestUndecodableDocumentIsRejectedOnce(t *testing.T) {
+	h := newHarness(t)
+	h.answerStore(tables.DocumentResult{Document: document(7, "/a/"), Cursor: 40})
+	h.answerStore(tables.DocumentResult{Rejected: tables.RejectedDocument{Version: 8, Reason: "route without a host"}, Cursor: 41})
+	must.Eq(t, 7, h.activeVersion())
+	must.Eq(t, 1, h.rejected)
+	must.Eq(t, 8, h.tables.Rejected.Load().Version)
+	request, _ := h.pendingRequest(approved.SourceStore)
+	must.Eq(t, 41, request.Cursor, must.Sprint("the read continues after the rejected document"))
+	h.answerStore(tables.DocumentResult{Document: document(9, "/b/"), Cursor: 42})
+	must.Eq(t, 9, h.activeVersion())
+	must.Eq(t, "", h.tables.Rejected.Load().Reason)
+}
+
+// Guards against a restarted node that serves nothing because the newest version
+// has faults: another node still has the version before it.
+func TestNodeWithARejectedDocumentTakesAnOlderOneFromAPeer(t *testing.T) {
+	h := newHarness(t)
+	h.answerStore(tables.DocumentResult{Document: document(9, "no slash"), Cursor: 40})
+	must.Eq(t, 0, h.activeVersion())
+	h.tables.Board.Do(func(tx *blackboard.Tx) {
+		h.tables.Members.Put(tx, "other", mesh.Member{Host: "other", State: mesh.Alive, PeerAddress: "10.0.0.2:1"})
+		h.tables.Announced.Set(tx, tables.Announcement{Version: 8, Host: "other", ReceivedAt: h.clock.Now()})
+	}, h.tables.Members.Write(), h.tables.Announced.Write())
+	h.settle()
+	h.clock.Advance(time.Second)
+	h.settle()
+	request, asked := h.pendingRequest(approved.SourcePeers)
+	must.True(t, asked)
+	must.Zero(t, request.NewerThan)
+	h.tables.Board.Do(func(tx *blackboard.Tx) {
+		h.tables.DocumentRequests.Delete(tx, approved.SourcePeers)
+		h.tables.DocumentResults.Put(tx, approved.SourcePeers, tables.DocumentResult{Document: document(8, "/a/")})
+	}, h.tables.DocumentRequests.Write(), h.tables.DocumentResults.Write())
+	h.settle()
+	must.Eq(t, 8, h.activeVersion())
+	must.Eq(t, 9, h.tables.Rejected.Load().Version, must.Sprint("the newest version is still not in force"))
+}
+
 // Guards against a node that stays behind while the store holds its read
 // without an answer: another node has announced a newer version and is asked
 // for it.
--- a/controllers/calls/calls.go
+++ b/controllers/calls/calls.go
@@ -86,7 +86,7 @@
 func (r reconciler) reconcile(now time.Time, id string) (result controller.Result) {
 	t := r.tables
 	t.Board.Do(func(tx *blackboard.Tx) { result = r.reconcileTx(tx, now, id) },
-		t.Routes.Read(), t.Floor.Read(), t.Members.Read(), t.Endpoints.Read(), t.HostStats.Write(), t.InFlight.Write(), t.Services.Write(),
+		t.Routes.Read(), t.Rejected.Read(), t.Floor.Read(), t.Members.Read(), t.Endpoints.Read(), t.HostStats.Write(), t.InFlight.Write(), t.Services.Write(),
 		t.Calls.Write(), t.PendingHedges.Write())
 	return result
 }
@@ -127,6 +127,7 @@
 	inputs := call.Environment{
 		Routes:         r.tables.Routes.Get(tx),
 		FloorUnknown:   !r.tables.Floor.Get(tx).Known,
+		ConfigRejected: r.tables.Rejected.Get(tx).Reason != "",
 		Zone:           r.config.Zone,
 		Region:         r.config.Region,
 		Random:         r.config.Random,
--- a/decide/admit/admit.go
+++ b/decide/admit/admit.go
@@ -2,9 +2,9 @@
 // backend server. It is the only admission point of that server, so a refused
 // request is known not to have run.
 //
-// Short requests (bookings, lookups) can use every slot. Uploads and background
-// requests together are limited to a share of the slots that is smaller than
-// the total, so a booking never waits for one of them to end. Where routes set
+// Short requests (bookings, lookups) can use every slot. Uploads, downloads and
+// background requests together are limited to a share of the slots that is smaller
+// than the total, so a booking never waits for one of them to end. Where routes set
 // priorities (Limits.PriorityOnly), priority alone decides and classes have no
 // shares.
 //
@@ -138,7 +138,7 @@
 		return r
 	case d.queued >= d.queueLimit(r.Class):
 		return refuse(r, d.queueFullReason(), d.estimateWait(r.Class))
-	case d.limits.PriorityOnly && r.Class == mesh.Lookup && !d.meetsObjective(r, d.estimateWait(r.Class)):
+	case d.limits.PriorityOnly && r.Class.Idempotent() && !d.meetsObjective(r, d.estimateWait(r.Class)):
 		// Waiting would give the caller a late response and take the place of a
 		// request that can still meet its objective, so a retry is better.
 		return refuse(r, verdict.Shed, d.estimateWait(r.Class))
@@ -201,12 +201,13 @@
 	if d.limits.PriorityOnly {
 		return true
 	}
-	upload, background := d.busy[mesh.Upload.Index()], d.busy[mesh.Background.Index()]
+	background := d.busy[mesh.Background.Index()]
+	longRunning := d.busy[mesh.Upload.Index()] + d.busy[mesh.Download.Index()] + background
 	switch c {
-	case mesh.Upload:
-		return upload+background < longRunningSlots(d.limits.Slots)
+	case mesh.Upload, mesh.Download:
+		return longRunning < longRunningSlots(d.limits.Slots)
 	case mesh.Background:
-		return background < backgroundSlots(d.limits.Slots) && upload+background < longRunningSlots(d.limits.Slots)
+		return background < backgroundSlots(d.limits.Slots) && longRunning < longRunningSlots(d.limits.Slots)
 	}
 	return true
 }
@@ -214,14 +215,14 @@
 // estimateWait estimates how long a request of the class would wait for a slot.
 func (d *decision) estimateWait(c mesh.Class) time.Duration {
 	slots := d.limits.Slots
-	if !d.limits.PriorityOnly && (c == mesh.Upload || c == mesh.Background) {
+	if !d.limits.PriorityOnly && (c.LongRunning() || c == mesh.Background) {
 		slots = longRunningSlots(slots)
 	}
 	return (d.queuedTime + d.limits.ServiceTimes.Mean(c)) / time.Duration(max(slots, 1))
 }
 
-// longRunningSlots returns the maximum number of slots that uploads and
-// background requests hold together: two thirds, at least one, and fewer than
+// longRunningSlots returns the maximum number of slots that uploads, downloads
+// and background requests hold together: two thirds, at least one, and fewer than
 // all where there are two or more.
 func longRunningSlots(slots int) int { return max(slots*2/3, 1) }
 
@@ -230,14 +231,15 @@
 func backgroundSlots(slots int) int { return max(slots/4, 1) }
 
 // classQueueLimit returns the queue length at which requests of the class are
-// refused: background requests are refused first, then uploads, then lookups.
+// refused: background requests are refused first, then uploads and downloads, then
+// lookups.
 func classQueueLimit(queue int, c mesh.Class) int {
 	switch c {
 	case mesh.Booking:
 		return queue
 	case mesh.Lookup:
 		return queue * 3 / 4
-	case mesh.Upload:
+	case mesh.Upload, mesh.Download:
 		return queue / 2
 	}
 	return queue / 4
--- a/decide/call/call.go
+++ b/decide/call/call.go
@@ -149,6 +149,9 @@
 	// FloorUnknown is true until the node has learned the lowest version that
 	// it is allowed to serve after its start.
 	FloorUnknown bool
+	// ConfigRejected is true while the newest configuration is one that this node
+	// could not put in force.
+	ConfigRejected bool
 	// Zone and Region are those of this node.
 	Zone   mesh.Zone
 	Region mesh.Region
@@ -174,6 +177,8 @@
 func Begin(now time.Time, r Request, w Environment) Call {
 	c := Call{Request: r}
 	switch {
+	case w.Routes == nil && w.ConfigRejected:
+		return c.refuse(verdict.NotRun, verdict.ConfigurationRejected)
 	case w.Routes == nil && w.FloorUnknown:
 		return c.refuse(verdict.NotRun, verdict.VersionFloorUnknown)
 	case w.Routes == nil:
@@ -184,6 +189,9 @@
 		return c.refuse(verdict.NotRun, verdict.NoRoute)
 	}
 	c = c.withRoute(matched, w)
+	if matched.Unreadable != "" {
+		return c.refuse(verdict.NotRun, verdict.RouteUnreadable)
+	}
 	rule := c.Rule
 	c.Deadline = r.Arrived.Add(rule.Deadline())
 	if replyDue := r.Deadline.Add(-w.ResponseMargin); !r.Deadline.IsZero() && replyDue.Before(c.Deadline) {
--- a/decide/call/continue.go
+++ b/decide/call/continue.go
@@ -142,20 +142,20 @@
 	// them refuse it. Each attempt costs a round trip between nodes, and after
 	// four refusals the service as a whole is taken to be full.
 	maxAttempts = 4
-	// minAttempts is the limit for lookups to a service that refuses most
-	// requests.
+	// minAttempts is the limit for idempotent requests to a service that refuses
+	// most requests.
 	minAttempts = 2
 	// shedRatioPerAttempt is the rise of the service's shed ratio that lowers
-	// the limit for lookups by one attempt.
+	// the limit for idempotent requests by one attempt.
 	shedRatioPerAttempt = 0.15
 )
 
 // attemptLimit returns the maximum number of nodes that the request is sent to.
 // During a load peak each further attempt is less likely to find capacity, and
 // handling it takes time from the requests that the node has admitted, so
-// lookups are refused earlier and the caller retries.
+// idempotent requests are refused earlier and the caller retries.
 func (c Call) attemptLimit(s ServiceState) int {
-	if c.Rule.Class != mesh.Lookup {
+	if !c.Rule.Class.Idempotent() {
 		return maxAttempts
 	}
 	return max(maxAttempts-int(s.ShedRatio/shedRatioPerAttempt), minAttempts)
--- a/decide/route/approved.go
+++ b/decide/route/approved.go
@@ -47,6 +47,9 @@
 	if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
 		l.add("path prefix %q does not begin and end with /", r.PathPrefix)
 	}
+	if r.Unreadable != "" {
+		return // only its match is known
+	}
 	if r.Service == "" && len(r.Split) == 0 {
 		l.add("has no service")
 	}
--- a/front/approved/approved.go
+++ b/front/approved/approved.go
@@ -97,27 +97,36 @@
 	}
 	defer response.Body.Close()
 	timer.Reset(bodyTimeout)
-	result.Document, result.Err = c.readDocument(response, request.Address)
-	return result
+	return c.readDocument(response, result)
 }
 
-// readDocument returns the document in a peer's response, or the zero value for
-// status 204.
-func (c Client) readDocument(response *http.Response, peerAddress string) (tables.Document, error) {
+// readDocument adds the document in a peer's response to the result. Status 204
+// adds none.
+func (c Client) readDocument(response *http.Response, result tables.DocumentResult) tables.DocumentResult {
 	switch response.StatusCode {
 	case http.StatusNoContent:
-		return tables.Document{}, nil
+		return result
 	case http.StatusOK:
 	default:
-		return tables.Document{}, eris.Errorf("approved: peer responded with status %d to document request", response.StatusCode)
+		result.Err = eris.Errorf("approved: peer responded with status %d to document request", response.StatusCode)
+		return result
+	}
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxDocumentBytes+1))
+	if err == nil && len(raw) > maxDocumentBytes {
+		err = eris.Errorf("document is longer than %d bytes", maxDocumentBytes)
 	}
-	raw, err := io.ReadAll(io.LimitReader(response.Body, maxDocumentBytes))
 	if err != nil {
-		return tables.Document{}, eris.Wrap(err, "approved: read document from peer's response body")
+		result.Err = eris.Wrap(err, "approved: read document from peer's response body")
+		return result
 	}
+	source := result.Request.Address
 	config, err := c.Decode(raw)
 	if err != nil {
-		return tables.Document{}, err
+		// Without a valid header the version is zero, which is unknown.
+		version, _ := strconv.ParseUint(response.Header.Get(headerVersion), 10, 64)
+		result.Rejected = tables.RejectedDocument{Version: mesh.Version(version), Source: source, Reason: err.Error()}
+		return result
 	}
-	return tables.Document{Version: config.Version, Raw: string(raw), Config: &config, Source: peerAddress}, nil
+	result.Document = tables.Document{Version: config.Version, Raw: string(raw), Config: &config, Source: source}
+	return result
 }
--- a/front/operator/status.go
+++ b/front/operator/status.go
@@ -25,6 +25,10 @@
 	// PlatformError is the error of the last read of the log; empty if it succeeded.
 	PlatformError string `json:"platform_error,omitempty"`
 	Draining      bool   `json:"draining"`
+	// RejectedReason is why the newest configuration could not be put in force;
+	// empty if it is in force. RejectedVersion is its version; zero if unknown.
+	RejectedReason  string       `json:"rejected_reason,omitempty"`
+	RejectedVersion mesh.Version `json:"rejected_version,omitempty"`
 	// OpenProposals is the number of open proposals.
 	OpenProposals int           `json:"open_proposals"`
 	Members       []mesh.Member `json:"members"`
@@ -71,6 +75,8 @@
 		if routes := t.Routes.Get(tx); routes != nil {
 			s.Version = routes.Version
 		}
+		rejected := t.Rejected.Get(tx)
+		s.RejectedReason, s.RejectedVersion = rejected.Reason, rejected.Version
 		state := t.Changes.Get(tx)
 		s.DecidedVersion = state.Version
 		s.Offset = state.Offset
@@ -82,7 +88,7 @@
 		if batch, found := t.LogBatches.Get(tx, eventlog.ConfigStream); found && batch.Err != nil {
 			s.PlatformError = batch.Err.Error()
 		}
-	}, t.Changes.Read(), t.Routes.Read(), t.LogBatches.Read())
+	}, t.Changes.Read(), t.Routes.Read(), t.Rejected.Read(), t.LogBatches.Read())
 }
 
 func (a *API) addFleetStatus(s *Status) {
--- a/logs/events.go
+++ b/logs/events.go
@@ -58,6 +58,15 @@
 // Line starts a line about a part of the node. The caller adds fields and writes
 // the line with Msg. It returns nil when the rate limit of the kind is reached.
 func (e *Events) Line(kind Kind, part string) *log.Entry {
+	return e.line(kind, part, log.InfoLevel)
+}
+
+// Warning is like Line, at level warn.
+func (e *Events) Warning(kind Kind, part string) *log.Entry {
+	return e.line(kind, part, log.WarnLevel)
+}
+
+func (e *Events) line(kind Kind, part string, level log.Level) *log.Entry {
 	if e == nil {
 		return nil
 	}
@@ -65,7 +74,7 @@
 	if !allowed {
 		return nil
 	}
-	entry := e.logger.out.Info().Str("part", part)
+	entry := e.logger.out.WithLevel(level).Str("part", part)
 	if omitted > 0 {
 		entry = entry.Int("lines_omitted", omitted)
 	}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -40,25 +40,27 @@
 	Booking Class = "booking"
 	// Upload is a long transfer that must arrive complete.
 	Upload Class = "upload"
+	// Download is an idempotent read with a large response, which is streamed.
+	Download Class = "download"
 	// Background is idempotent work that is shed first under overload.
 	Background Class = "background"
 )
 
 // Classes returns all classes in the order in which overload keeps them: the
 // last one is shed first.
-func Classes() []Class { return []Class{Booking, Lookup, Upload, Background} }
+func Classes() []Class { return []Class{Booking, Lookup, Upload, Download, Background} }
 
-// Valid reports whether c is one of the four classes.
+// Valid reports whether c is one of the classes.
 func (c Class) Valid() bool {
 	switch c {
-	case Lookup, Booking, Upload, Background:
+	case Lookup, Booking, Upload, Download, Background:
 		return true
 	}
 	return false
 }
 
 // NumClasses is the number of classes.
-const NumClasses = 4
+const NumClasses = 5
 
 // Index returns the position of c in Classes. For an invalid class it returns
 // the last position.
@@ -70,6 +72,8 @@
 		return 1
 	case Upload:
 		return 2
+	case Download:
+		return 3
 	default:
 		return NumClasses - 1
 	}
@@ -77,7 +81,11 @@
 
 // Idempotent reports whether a request of the class can safely run more than
 // once.
-func (c Class) Idempotent() bool { return c == Lookup || c == Background }
+func (c Class) Idempotent() bool { return c == Lookup || c == Download || c == Background }
+
+// LongRunning reports whether a request of the class can occupy a slot for as
+// long as a large body takes to transfer.
+func (c Class) LongRunning() bool { return c == Upload || c == Download }
 
 // Service is a service of the asset register and the customer that owns it.
 type Service struct {
--- a/mesh/route.go
+++ b/mesh/route.go
@@ -26,6 +26,10 @@
 	// MaxBackendAttempts bounds the attempts of one request that can reach a
 	// backend server. If it is zero, Rule.Retries is the only bound.
 	MaxBackendAttempts int
+	// Unreadable is why the rest of the route could not be read; empty for a
+	// route in order. Requests that match an unreadable route are refused:
+	// without it, they would match a shorter prefix and run elsewhere.
+	Unreadable string
 }
 
 // RouteOf returns the route of a rule, without the extended settings.
@@ -51,4 +55,15 @@
 	// service.
 	MaxConnections map[ServiceName]int
 	Limits         CallerLimits
+	// Warnings lists the entries that were read only in part, for logs.
+	Warnings []ConfigWarning
+}
+
+// ConfigWarning describes an entry of approved configuration that was read only
+// in part.
+type ConfigWarning struct {
+	// Entry is the kind and the name of the entry.
+	Entry string
+	// Problem is what could not be read, and how the entry is handled.
+	Problem string
 }
--- a/node/adapter.go
+++ b/node/adapter.go
@@ -13,7 +13,6 @@
 	"github.com/marigoldshelf/marigoldshelf/controllers/registration"
 	"github.com/marigoldshelf/marigoldshelf/decide/drain"
 	decide "github.com/marigoldshelf/marigoldshelf/decide/registration"
-	"github.com/marigoldshelf/marigoldshelf/decide/route"
 	"github.com/marigoldshelf/marigoldshelf/encoding/hop"
 	approvedfront "github.com/marigoldshelf/marigoldshelf/front/approved"
 	registrationfront "github.com/marigoldshelf/marigoldshelf/front/registration"
@@ -53,6 +52,10 @@
 // backend server that reports its slots.
 const queuePerSlot = 1.0
 
+// configEvent counts the versions of approved configuration, by what became of
+// them.
+const configEvent = "configuration"
+
 // registerAdapter adds the controllers of a node with an adapter. The node
 // starts as draining until its backend server reports that it is ready.
 func (n *Node) registerAdapter() {
@@ -69,10 +72,16 @@
 		OnRejectedReport: n.record.reportRejected,
 	})
 	approved.Register(n.pool, t, approved.Config{
-		Self:           n.self.Host,
-		Random:         rand.New(rand.NewPCG(n.options.Seed, uint64(n.self.Incarnation)+1)),
-		OnActivated:    n.record.configActivated,
-		OnRejected:     func(d tables.Document, f route.Faults) { n.record.configRejected(d, f) },
+		Self:   n.self.Host,
+		Random: rand.New(rand.NewPCG(n.options.Seed, uint64(n.self.Incarnation)+1)),
+		OnActivated: func(d tables.Document, previous mesh.Version) {
+			n.options.Metrics.Count(configEvent, "activated")
+			n.record.configActivated(d, previous)
+		},
+		OnRejected: func(d tables.RejectedDocument) {
+			n.options.Metrics.Count(configEvent, "rejected")
+			n.record.configRejected(d)
+		},
 		OnSourceChange: n.record.sourceChanged,
 	})
 }
--- a/node/observe.go
+++ b/node/observe.go
@@ -85,6 +85,9 @@
 // empty string if it should.
 func (n *Node) unreadyReason() string {
 	if n.tables.Routes.Load() == nil {
+		if rejected := n.tables.Rejected.Load(); rejected.Reason != "" {
+			return "no configuration is in force, the newest one was rejected: " + rejected.Reason
+		}
 		return "no configuration is in force"
 	}
 	state := n.tables.Drain.Load()
--- a/node/record.go
+++ b/node/record.go
@@ -9,7 +9,6 @@
 	"github.com/marigoldshelf/marigoldshelf/decide/admit"
 	"github.com/marigoldshelf/marigoldshelf/decide/call"
 	"github.com/marigoldshelf/marigoldshelf/decide/registration"
-	"github.com/marigoldshelf/marigoldshelf/decide/route"
 	"github.com/marigoldshelf/marigoldshelf/encoding/hop"
 	"github.com/marigoldshelf/marigoldshelf/logs"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
@@ -145,12 +144,19 @@
 		e.Uint64("version", uint64(d.Version)).Uint64("was", uint64(previous)).Int("routes", len(d.Config.Routes)).
 			Str("from", d.Source).Msg("configuration in force")
 	}
+	if len(d.Config.Warnings) == 0 {
+		return
+	}
+	if e := r.events.Warning(logs.StateChange, partConfig); e != nil {
+		first := d.Config.Warnings[0]
+		e.Uint64("version", uint64(d.Version)).Int("entries", len(d.Config.Warnings)).
+			Str("entry", first.Entry).Str("cause", first.Problem).Msg("configuration read in part")
+	}
 }
 
-func (r recorder) configRejected(d tables.Document, f route.Faults) {
-	if e := r.events.Line(logs.StateChange, partConfig); e != nil {
-		e.Uint64("version", uint64(d.Version)).Str("from", d.Source).Int("faults", len(f)).
-			Str("first", f[0].Location+": "+f[0].Message).Msg("configuration rejected")
+func (r recorder) configRejected(d tables.RejectedDocument) {
+	if e := r.events.Warning(logs.StateChange, partConfig); e != nil {
+		e.Uint64("version", uint64(d.Version)).Str("from", d.Source).Str("cause", d.Reason).Msg("configuration rejected")
 	}
 }
 
--- a/tables/approved.go
+++ b/tables/approved.go
@@ -20,6 +20,16 @@
 	Source string
 }
 
+// RejectedDocument is a published version that this node could not put in force.
+type RejectedDocument struct {
+	// Version is zero when it could not be read.
+	Version mesh.Version
+	// Source names the source of the document, for logs.
+	Source string
+	// Reason is what is wrong with the document; empty when there is none.
+	Reason string
+}
+
 // DocumentRequest is a request to an I/O worker to fetch a newer document.
 type DocumentRequest struct {
 	// Address is the address of the peer to fetch from; empty for the store.
@@ -38,6 +48,9 @@
 	Request DocumentRequest
 	// Document has version zero when there is nothing newer.
 	Document Document
+	// Rejected is a newer document that could not be decoded; its Reason is empty
+	// when there is none. The source itself answered.
+	Rejected RejectedDocument
 	// Cursor is the position in the store for the next read; zero while nothing
 	// has been published.
 	Cursor int64
@@ -67,9 +80,12 @@
 // Approved groups the tables of configuration that is approved before it
 // reaches the node.
 type Approved struct {
-	// Document is the newest document, also when it has faults and is not in
-	// force. Written by the controller approved.
+	// Document is the newest document that was put in force. Written by the
+	// controller approved.
 	Document *blackboard.Cell[Document]
+	// Rejected is the newest document, while it could not be put in force; it is
+	// empty once a later one is. Written by the controller approved.
+	Rejected *blackboard.Cell[RejectedDocument]
 	// Sources holds the state of each source: the store, and all peers
 	// together. Written by the controller approved.
 	Sources *blackboard.Table[string, SourceState]
@@ -85,6 +101,7 @@
 func newApproved(b *blackboard.Board) Approved {
 	return Approved{
 		Document:         blackboard.NewCell[Document](b, "document", rankDocument),
+		Rejected:         blackboard.NewCell[RejectedDocument](b, "rejected", rankRejected),
 		Sources:          blackboard.NewTable[string, SourceState](b, "sources", rankSources),
 		Announced:        blackboard.NewCell[Announcement](b, "announced", rankAnnounced),
 		DocumentRequests: blackboard.NewTable[string, DocumentRequest](b, "document_asks", rankDocumentRequests),
--- a/tables/order.go
+++ b/tables/order.go
@@ -20,6 +20,7 @@
 	rankRoutes      blackboard.Rank = 110
 	rankSubmissions blackboard.Rank = 120
 	rankDocument    blackboard.Rank = 130
+	rankRejected    blackboard.Rank = 131
 	rankSources     blackboard.Rank = 132
 	rankAnnounced   blackboard.Rank = 134
 
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -50,6 +50,8 @@
 // The reasons that a request is refused, failed or retried.
 const (
 	NoConfiguration       Reason = "no_configuration"   // the node has no configuration version yet
+	ConfigurationRejected Reason = "config_rejected"    // the node has no version in force and cannot use the newest one
+	RouteUnreadable       Reason = "route_unreadable"   // the route's entry in the configuration cannot be read
 	NoRoute               Reason = "no_route"           // no rule matches host name and path
 	NoBackend             Reason = "no_backend"         // no live backend server for the service
 	Draining              Reason = "draining"           // the backend server or the node is draining
