Parts of a fleet that joined apart find each other; signals are caught before the addresses are printed

All four nodes announce themselves at one instant, read each other's announcements before they have joined, and each zone joins through its neighbor. A node reads an announcement once, so nobody contacted the other zone until a relay announced itself again, minutes later; the zones then took each other's key holders for gone. Ruled out: the rewording, the order of keys. Change: a node that has joined also sends a Sync to a random announced address that belongs to no known host, in each round of anti-entropy.

--- a/cmd/marigoldd/main.go
+++ b/cmd/marigoldd/main.go
@@ -43,6 +43,10 @@
 }
 
 func run(args arguments, hangups <-chan os.Signal, log *logs.Logger) error {
+	// Signals are caught before the addresses are printed: whoever reads those
+	// can stop the node at once.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
 	checked, err := settings.Load(args.Settings)
 	if err != nil {
 		return err
@@ -68,8 +72,6 @@
 			return err
 		}
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	log.Info("started")
 	go watchSettings(ctx, args.Settings, hangups, n)
 	return n.Run(ctx)
--- a/controllers/membership/sync.go
+++ b/controllers/membership/sync.go
@@ -40,6 +40,7 @@
 	if id, found := f.pickSyncPeer(tx); found {
 		f.sendToHost(tx, id, membership.Message{Kind: membership.Sync, Digests: f.zoneDigests(tx)})
 	}
+	f.syncWithUnknownAddress(tx, self)
 	if !self.TableSynced {
 		return controller.Result{RequeueAfter: f.Timing.InitialSyncInterval/2 + f.jitter(f.Timing.InitialSyncInterval)}
 	}
@@ -67,6 +68,37 @@
 	}
 }
 
+// syncWithUnknownAddress sends a Sync message to a random join address that
+// belongs to no known host. The nodes behind such addresses are gone, or have
+// joined one another and form another part of the fleet: a node reads each
+// announcement once, and can join through a neighbor before it contacts the
+// announced node.
+func (f fleetController) syncWithUnknownAddress(tx *blackboard.Tx, self membership.Self) {
+	if f.JoinAddresses.Len(tx) == 0 {
+		return
+	}
+	known := make(map[string]bool, f.Peers.Len(tx))
+	f.Peers.Each(tx, func(_ mesh.HostID, peer membership.Peer) bool {
+		known[peer.Member.ProbeAddress] = true
+		return true
+	})
+	picked, count := "", 0
+	f.JoinAddresses.Each(tx, func(address string, _ uint64) bool {
+		if known[address] {
+			return true
+		}
+		if count++; f.Random.IntN(count) == 0 {
+			picked = address
+		}
+		return true
+	})
+	if count > 0 {
+		f.sendToAddress(tx, picked, membership.Message{
+			Kind: membership.Sync, Digests: f.zoneDigests(tx), Records: []membership.Record{self.Record()},
+		})
+	}
+}
+
 // pickSyncPeer returns a random member to compare tables with: usually one of the
 // local zone, else one of any zone.
 func (f fleetController) pickSyncPeer(tx *blackboard.Tx) (mesh.HostID, bool) {
