Heads, interim responses and undelimited bodies of backend servers are bounded

Cause: http.ReadResponse has no limit of its own; header lines, one long line or interim responses without end grew the heap until the process was killed, and a body without length was buffered up to 4 MB. Change: one budget of 64 KB for all heads of a request (hop.HeadReader, shared with the callers' front end), and bodies without length are streamed after 64 KB.

--- a/encoding/hop/body.go
+++ b/encoding/hop/body.go
@@ -98,27 +98,24 @@
 // it is passed on.
 const shortResponseBytes = 64 << 10
 
-// maxUndelimitedBytes bounds a response body that ends with its connection.
-const maxUndelimitedBytes = 4 << 20
-
-// BufferShortBody buffers a response body that is short or has no known length. A
-// body without length or chunks ends with its connection, and only its end shows
-// whether the connection was closed or reset. BufferShortBody returns
-// verdict.ResponseTruncated if the body is truncated or too long to buffer.
+// BufferShortBody buffers a response body that is short, and the start of one
+// that has neither length nor chunks. Such a body ends with its connection, and
+// only its end shows whether the connection was closed or reset; beyond the
+// buffered part it is streamed. BufferShortBody returns
+// verdict.ResponseTruncated if the body breaks off within the buffered part.
 func BufferShortBody(r *http.Response) *verdict.Error {
-	limit := int64(shortResponseBytes)
-	switch {
-	case r.ContentLength > shortResponseBytes || len(r.Trailer) > 0:
+	isChunked := r.ContentLength < 0 && isDelimited(r)
+	if r.ContentLength > shortResponseBytes || len(r.Trailer) > 0 || isChunked {
 		return nil
-	case !isDelimited(r):
-		limit = maxUndelimitedBytes
-	case r.ContentLength < 0:
-		return nil // chunked encoding marks the end
 	}
-	data, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil || int64(len(data)) > limit {
+	data, err := io.ReadAll(io.LimitReader(r.Body, shortResponseBytes+1))
+	if err != nil {
 		return verdict.New(verdict.MayHaveRun, verdict.ResponseTruncated, err)
 	}
+	if len(data) > shortResponseBytes {
+		r.Body = &prefixedBody{Reader: io.MultiReader(bytes.NewReader(data), r.Body), Closer: r.Body}
+		return nil
+	}
 	_ = r.Body.Close() // its end was read
 	r.Body = io.NopCloser(bytes.NewReader(data))
 	r.ContentLength = int64(len(data))
@@ -128,6 +125,12 @@
 	return nil
 }
 
+// prefixedBody is a body of which the start was read and put back.
+type prefixedBody struct {
+	io.Reader
+	io.Closer
+}
+
 // isDelimited reports whether a complete body can be distinguished from one
 // truncated by a broken connection: by its length or by chunked encoding.
 func isDelimited(r *http.Response) bool {
--- /dev/null
+++ b/encoding/hop/head.go
@@ -0,0 +1,44 @@
+package hop
+
+import (
+	"io"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrHeadTooLong is returned when the head of a message exceeds its limit.
+var ErrHeadTooLong = eris.New("hop: message head exceeds the size limit")
+
+// HeadReader limits the bytes that are read from a connection while the head of
+// a message is read. http.ReadRequest and http.ReadResponse have no limit of
+// their own. It is not safe for concurrent use.
+type HeadReader struct {
+	source    io.Reader
+	remaining int64 // in bytes; negative means no limit
+}
+
+// NewHeadReader returns a reader of source without a limit.
+func NewHeadReader(source io.Reader) *HeadReader { return &HeadReader{source: source, remaining: -1} }
+
+// Limit limits the following reads to n bytes in total. A bufio.Reader on top
+// can read beyond the head, so n includes the bytes that it has buffered.
+func (r *HeadReader) Limit(n int64) { r.remaining = max(n, 0) }
+
+// Unlimit removes the limit.
+func (r *HeadReader) Unlimit() { r.remaining = -1 }
+
+// Read implements io.Reader. It returns ErrHeadTooLong at the limit.
+func (r *HeadReader) Read(p []byte) (int, error) {
+	if r.remaining < 0 {
+		return r.source.Read(p)
+	}
+	if r.remaining == 0 {
+		return 0, ErrHeadTooLong
+	}
+	if int64(len(p)) > r.remaining {
+		p = p[:r.remaining]
+	}
+	n, err := r.source.Read(p)
+	r.remaining -= int64(n)
+	return n, err
+}
--- a/encoding/hop/pool.go
+++ b/encoding/hop/pool.go
@@ -28,6 +28,9 @@
 	// keepAliveFraction is the fraction of the Keep-Alive timeout that is used, so
 	// that no request is sent while the backend server closes the connection.
 	keepAliveFraction = 0.7
+	// maxResponseHeadsBytes bounds the heads that are read for one request:
+	// interim responses, skipped responses and the response itself.
+	maxResponseHeadsBytes = maxResponseHeaderBytes
 	// connBufferBytes is the size of each of a connection's buffers.
 	connBufferBytes = 4 << 10
 )
@@ -58,6 +61,7 @@
 type poolConn struct {
 	*countingConn
 	address   string
+	heads     *HeadReader // below reader
 	reader    *bufio.Reader
 	writer    *bufio.Writer
 	idleSince time.Time
@@ -127,8 +131,9 @@
 // read returns the response to the request. It skips interim responses and those
 // to other requests.
 func (c *poolConn) read(r *http.Request, isResponseTo func(*http.Response, *http.Request) bool) (*http.Response, error) {
+	headBytes := int64(maxResponseHeadsBytes)
 	for skipped := 0; skipped <= maxMismatched; {
-		response, err := http.ReadResponse(c.reader, r)
+		response, err := c.readHead(r, &headBytes)
 		if err != nil {
 			return nil, eris.Wrap(err, "hop: read response")
 		}
@@ -147,6 +152,16 @@
 	return nil, errMismatched
 }
 
+// readHead reads one response up to its body. The bytes read are taken from
+// budget, those of a body that is already buffered included.
+func (c *poolConn) readHead(r *http.Request, budget *int64) (*http.Response, error) {
+	c.heads.Limit(*budget)
+	response, err := http.ReadResponse(c.reader, r)
+	*budget = c.heads.remaining
+	c.heads.Unlimit()
+	return response, err
+}
+
 // get returns an idle connection to address or opens a new one.
 func (p *Pool) get(ctx context.Context, address string) (c *poolConn, reused bool, err error) {
 	for {
@@ -167,9 +182,10 @@
 		p.release()
 		return nil, false, err
 	}
+	heads := NewHeadReader(dialed)
 	return &poolConn{
-		countingConn: dialed.(*countingConn), address: address, maxIdle: defaultMaxIdle,
-		reader: bufio.NewReaderSize(dialed, connBufferBytes), writer: bufio.NewWriterSize(dialed, connBufferBytes),
+		countingConn: dialed.(*countingConn), address: address, maxIdle: defaultMaxIdle, heads: heads,
+		reader: bufio.NewReaderSize(heads, connBufferBytes), writer: bufio.NewWriterSize(dialed, connBufferBytes),
 	}, false, nil
 }
 
--- a/front/pipeline/conn.go
+++ b/front/pipeline/conn.go
@@ -10,6 +10,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/marigoldshelf/marigoldshelf/encoding/hop"
 )
 
 // bufferBytes is the size of a connection's read and write buffers.
@@ -20,7 +22,7 @@
 type conn struct {
 	server       *Server
 	netConn      net.Conn
-	headerReader headerLimitReader
+	headerReader *hop.HeadReader
 	reader       *bufio.Reader
 	writer       *bufio.Writer
 	ctx          context.Context
@@ -36,36 +38,10 @@
 	requestWait    sync.WaitGroup
 }
 
-// headerLimitReader limits the bytes that are read while a limit is set.
-type headerLimitReader struct {
-	source    io.Reader
-	remaining int64 // in bytes; negative means no limit
-}
-
-// errHeaderTooLarge is returned when a request's header exceeds
-// Limits.MaxHeaderBytes.
-var errHeaderTooLarge = errors.New("pipeline: request header exceeds the size limit")
-
-// Read implements io.Reader.
-func (r *headerLimitReader) Read(p []byte) (int, error) {
-	if r.remaining < 0 {
-		return r.source.Read(p)
-	}
-	if r.remaining == 0 {
-		return 0, errHeaderTooLarge
-	}
-	if int64(len(p)) > r.remaining {
-		p = p[:r.remaining]
-	}
-	n, err := r.source.Read(p)
-	r.remaining -= int64(n)
-	return n, err
-}
-
 func newConn(s *Server, netConn net.Conn, ctx context.Context, cancel context.CancelFunc) *conn {
 	c := &conn{server: s, netConn: netConn, ctx: ctx, cancel: cancel, slots: make(chan struct{}, maxInFlight)}
-	c.headerReader = headerLimitReader{source: netConn, remaining: -1}
-	c.reader = bufio.NewReaderSize(&c.headerReader, bufferBytes)
+	c.headerReader = hop.NewHeadReader(netConn)
+	c.reader = bufio.NewReaderSize(c.headerReader, bufferBytes)
 	c.writer = bufio.NewWriterSize(netConn, bufferBytes)
 	return c
 }
@@ -91,10 +67,10 @@
 		_ = c.netConn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	}
 	if limits.MaxHeaderBytes > 0 {
-		c.headerReader.remaining = max(limits.MaxHeaderBytes-int64(c.reader.Buffered()), 0)
+		c.headerReader.Limit(limits.MaxHeaderBytes - int64(c.reader.Buffered()))
 	}
 	request, err := http.ReadRequest(c.reader)
-	c.headerReader.remaining = -1
+	c.headerReader.Unlimit()
 	_ = c.netConn.SetReadDeadline(time.Time{})
 	if err != nil {
 		c.writeHeaderError(err)
@@ -236,7 +212,7 @@
 func (c *conn) writeHeaderError(err error) {
 	status := http.StatusBadRequest
 	switch {
-	case errors.Is(err, errHeaderTooLarge):
+	case errors.Is(err, hop.ErrHeadTooLong):
 		status = http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		status = http.StatusRequestTimeout
