Few nodes of a large zone read the store, the others are fed by them

Change: the first three nodes of a zone by rank read (decide/reader), the others hold a request at a node above them, in a tree of eight children a node. A zone of up to six reads as before. A node whose feeding node does not answer reads the store at once; versions in datagrams make a late one ask their sender. Documents between nodes are compressed. A node that joins reads the announcements about twice in place of four times. Weighed: one reader a zone (its restart makes the zone late), a lease in the store for the readers (calls, and a list to keep), long waits at the feeding node (a cut would be noticed after 8 s).

--- a/controllers/approved/approved.go
+++ b/controllers/approved/approved.go
@@ -1,7 +1,8 @@
 // Package approved implements the controller that fetches configuration
-// documents which are approved before they reach the node. It reads the store
-// with long polls. While the store does not answer, it also asks other nodes
-// for the newest document they have. A document is compiled and put in force as
+// documents which are approved before they reach the node. Some nodes read the
+// store with long polls, the others hold a request at one of them or at a node
+// between (package decide/reader). While that source does not answer, the node
+// also asks others for the newest document they have. A document is compiled and put in force as
 // a whole or not at all, and the version in force never decreases.
 package approved
 
@@ -12,15 +13,21 @@
 
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/controller"
+	"github.com/marigoldshelf/marigoldshelf/decide/reader"
 	"github.com/marigoldshelf/marigoldshelf/decide/route"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 )
 
 // Sources of documents; they are the keys of the tables Sources,
-// DocumentRequests and DocumentResults. All peers together count as one source.
+// DocumentRequests and DocumentResults.
 const (
+	// SourceStore is the store of the platform.
 	SourceStore = "store"
+	// SourceFeed is the node that this node receives documents from while it does
+	// not read the store.
+	SourceFeed = "feed"
+	// SourcePeers is any other node, asked when the regular source is late.
 	SourcePeers = "peers"
 )
 
@@ -36,6 +43,15 @@
 	// batchDelay because a node that has just received a document reads the
 	// store again only after batchDelay.
 	announcementGrace = batchDelay + 100*time.Millisecond
+	// feedWait is how long the feeding node may hold a request. It is short so that
+	// a node that is cut off from its feeding node reads the store soon.
+	feedWait = 2 * time.Second
+	// feedBatchDelay is the delay after a document from the feed. The feeding node
+	// has already combined changes that come in quick succession.
+	feedBatchDelay = 200 * time.Millisecond
+	// roleInterval is the time after which a node that does not use a source
+	// checks again whether it should.
+	roleInterval = time.Second
 	// peerWait is how long a peer may hold a request. It is short so that
 	// another peer is asked soon, because this one may not reach the store
 	// either.
@@ -86,21 +102,23 @@
 type documentFetcher struct {
 	*tables.Tables
 	Config
+	handle controller.Handle[string]
 }
 
 // Register adds the controller. Its key is the source of documents.
 func Register(p *controller.Pool, t *tables.Tables, c Config) {
-	f := documentFetcher{t, c}
-	handle := controller.Register(p, "approved", f.reconcile)
-	t.DocumentResults.Watch(handle.Add)
-	t.Announced.Watch(func() { handle.Add(SourcePeers) })
-	handle.Add(SourceStore)
-	handle.Add(SourcePeers)
+	f := &documentFetcher{Tables: t, Config: c}
+	f.handle = controller.Register(p, "approved", f.reconcile)
+	t.DocumentResults.Watch(f.handle.Add)
+	t.Announced.Watch(func() { f.handle.Add(SourcePeers) })
+	for _, source := range []string{SourceStore, SourceFeed, SourcePeers} {
+		f.handle.Add(source)
+	}
 }
 
 // reconcile processes the answer of a source and sends the next request when it
 // is due. The document is compiled outside a transaction.
-func (f documentFetcher) reconcile(now time.Time, source string) (result controller.Result) {
+func (f *documentFetcher) reconcile(now time.Time, source string) (result controller.Result) {
 	var newer tables.Document
 	var rejected tables.RejectedDocument
 	f.Board.Do(func(tx *blackboard.Tx) { newer, rejected = f.processResult(tx, now, source) },
@@ -112,7 +130,7 @@
 		f.OnRejected(rejected)
 	}
 	f.Board.Do(func(tx *blackboard.Tx) { result = f.requestNext(tx, now, source) },
-		f.Document.Read(), f.Rejected.Read(), f.Sources.Write(), f.Announced.Read(), f.Members.Read(), f.DocumentRequests.Write())
+		f.Document.Read(), f.Rejected.Read(), f.Sources.Write(), f.Announced.Read(), f.Members.Read(), f.Zones.Read(), f.DocumentRequests.Write())
 	return result
 }
 
@@ -120,7 +138,7 @@
 // one. It returns the document if its version is newer than the known one, else
 // a document with version zero, and the document that could not be decoded, if
 // there is one.
-func (f documentFetcher) processResult(tx *blackboard.Tx, now time.Time, source string) (newer tables.Document, rejected tables.RejectedDocument) {
+func (f *documentFetcher) processResult(tx *blackboard.Tx, now time.Time, source string) (newer tables.Document, rejected tables.RejectedDocument) {
 	r, found := f.DocumentResults.Get(tx, source)
 	if !found {
 		return newer, rejected
@@ -137,6 +155,9 @@
 		state.Cursor = 0
 		state.Failures++
 		f.Sources.Put(tx, source, state)
+		if source == SourceFeed {
+			f.handle.Add(SourceStore) // the node reads the store until it is fed again
+		}
 		return newer, rejected
 	}
 	if state.Failures > 0 {
@@ -151,6 +172,9 @@
 	case r.Document.Version > f.Document.Get(tx).Version:
 		newer = r.Document
 		state.NextAt = now.Add(batchDelay)
+		if source == SourceFeed {
+			state.NextAt = now.Add(feedBatchDelay)
+		}
 	case source == SourceStore && r.Cursor == 0:
 		state.NextAt = now.Add(emptyStoreDelay)
 	}
@@ -160,8 +184,8 @@
 
 // backoff returns the delay before the next request to a source that failed to
 // answer, given the number of failures before this one.
-func (f documentFetcher) backoff(source string, failures int) time.Duration {
-	if source == SourcePeers {
+func (f *documentFetcher) backoff(source string, failures int) time.Duration {
+	if source != SourceStore {
 		return peerBackoff
 	}
 	mean := min(minStoreBackoff<<min(failures, 8), maxStoreBackoff)
@@ -170,7 +194,7 @@
 
 // activate compiles a document and puts it in force. It returns a document with
 // faults as rejected, once; the configuration in force does not change.
-func (f documentFetcher) activate(d tables.Document, source string) (rejected tables.RejectedDocument) {
+func (f *documentFetcher) activate(d tables.Document, source string) (rejected tables.RejectedDocument) {
 	table, faults := route.CompileApproved(*d.Config)
 	var previous mesh.Version
 	activated := false
@@ -211,7 +235,7 @@
 
 // requestNext puts the next request to the source into the outbox
 // DocumentRequests if none is pending and it is due.
-func (f documentFetcher) requestNext(tx *blackboard.Tx, now time.Time, source string) controller.Result {
+func (f *documentFetcher) requestNext(tx *blackboard.Tx, now time.Time, source string) controller.Result {
 	if _, pending := f.DocumentRequests.Get(tx, source); pending {
 		return controller.Result{}
 	}
@@ -219,14 +243,25 @@
 	if now.Before(state.NextAt) {
 		return controller.Result{RequeueAfter: state.NextAt.Sub(now)}
 	}
-	if source == SourceStore {
+	role := f.role(tx)
+	known := f.Document.Get(tx).Version
+	switch {
+	case source == SourceStore && !f.readsStore(tx, role) || source == SourceFeed && role.Reads:
+		return controller.Result{RequeueAfter: roleInterval}
+	case source == SourceStore:
+		if now.Sub(state.AnsweredAt) > storeWait+batchDelay+storeSilenceTimeout {
+			state.Cursor = 0 // as after a failure
+		}
 		f.DocumentRequests.Put(tx, SourceStore, tables.DocumentRequest{
-			NewerThan: max(f.Document.Get(tx).Version, f.Rejected.Get(tx).Version), Cursor: state.Cursor, Wait: storeWait,
+			NewerThan: max(known, f.Rejected.Get(tx).Version), Cursor: state.Cursor, Wait: storeWait,
 		})
 		return controller.Result{}
+	case source == SourceFeed:
+		parent, _ := f.Members.Get(tx, role.Parents[state.Failures%len(role.Parents)])
+		f.DocumentRequests.Put(tx, SourceFeed, tables.DocumentRequest{Address: parent.PeerAddress, NewerThan: known, Wait: feedWait})
+		return controller.Result{}
 	}
-	known := f.Document.Get(tx).Version
-	due, host := f.nextPeerRequest(tx, known)
+	due, host := f.nextPeerRequest(tx, role, known)
 	if now.Before(due) {
 		return controller.Result{RequeueAfter: due.Sub(now)}
 	}
@@ -240,14 +275,43 @@
 	return controller.Result{}
 }
 
-// nextPeerRequest returns when a peer is to be asked in addition to the store,
-// and which one. An empty host means any peer; a zero time means at once.
-func (f documentFetcher) nextPeerRequest(tx *blackboard.Tx, known mesh.Version) (due time.Time, host mesh.HostID) {
+// role returns the role of this node among the usable nodes of its zone.
+func (f *documentFetcher) role(tx *blackboard.Tx) reader.Role {
+	self, _ := f.Members.Get(tx, f.Self)
+	zone, _ := f.Zones.Get(tx, self.Zone)
+	usable := make([]mesh.HostID, 0, len(zone.Hosts))
+	for _, id := range zone.Hosts {
+		if m, known := f.Members.Get(tx, id); id == f.Self || known && m.State == mesh.Alive {
+			usable = append(usable, id)
+		}
+	}
+	return reader.RoleOf(f.Self, usable)
+}
+
+// readsStore reports whether this node reads the store: by its role, once after
+// its start, and while the node that should feed it does not answer.
+func (f *documentFetcher) readsStore(tx *blackboard.Tx, role reader.Role) bool {
+	store, _ := f.Sources.Get(tx, SourceStore)
+	feed, _ := f.Sources.Get(tx, SourceFeed)
+	return role.Reads || store.AnsweredAt.IsZero() || feed.Failures > 0
+}
+
+// nextPeerRequest returns when a peer is to be asked in addition to the regular
+// source, and which one. An empty host means any peer; a zero time means at once.
+func (f *documentFetcher) nextPeerRequest(tx *blackboard.Tx, role reader.Role, known mesh.Version) (due time.Time, host mesh.HostID) {
 	store, _ := f.Sources.Get(tx, SourceStore)
-	if store.Failures > 0 {
+	feed, _ := f.Sources.Get(tx, SourceFeed)
+	switch {
+	case store.Failures > 0 && f.readsStore(tx, role):
 		return time.Time{}, ""
+	case f.readsStore(tx, role):
+		due = store.AnsweredAt.Add(storeWait + batchDelay + storeSilenceTimeout)
+	default:
+		due = feed.AnsweredAt.Add(feedWait + feedBatchDelay + storeSilenceTimeout)
+		if due.Before(store.AnsweredAt.Add(feedWait)) {
+			due = store.AnsweredAt.Add(feedWait) // the feed has not answered yet
+		}
 	}
-	due = store.AnsweredAt.Add(storeWait + batchDelay + storeSilenceTimeout)
 	if announced := f.Announced.Get(tx); announced.Version > known && announced.Version != f.Rejected.Get(tx).Version {
 		if overdue := announced.ReceivedAt.Add(announcementGrace); overdue.Before(due) {
 			return overdue, announced.Host
@@ -259,7 +323,7 @@
 // peerAddress returns the address of the host's peers' listener. If the host is
 // not a known member, or the last request to a peer failed, it returns that of
 // a random peer.
-func (f documentFetcher) peerAddress(tx *blackboard.Tx, host mesh.HostID) (address string, found bool) {
+func (f *documentFetcher) peerAddress(tx *blackboard.Tx, host mesh.HostID) (address string, found bool) {
 	peers, _ := f.Sources.Get(tx, SourcePeers)
 	if member, known := f.Members.Get(tx, host); known && peers.Failures == 0 {
 		return member.PeerAddress, true
@@ -269,7 +333,7 @@
 
 // randomPeer returns the address of a random member other than this node that
 // is neither dead nor unreachable.
-func (f documentFetcher) randomPeer(tx *blackboard.Tx) (address string, found bool) {
+func (f *documentFetcher) randomPeer(tx *blackboard.Tx) (address string, found bool) {
 	candidates := 0
 	f.Members.Each(tx, func(id mesh.HostID, m mesh.Member) bool {
 		if id == f.Self || m.State == mesh.Dead || m.State == mesh.Unreachable {
--- a/controllers/membership/announce.go
+++ b/controllers/membership/announce.go
@@ -27,9 +27,13 @@
 	joinTimeout = 3 * time.Second
 	// joinAddressTimeout is how long a node that has not joined tries the addresses
 	// found by a read before it reads again. A running node replies within two
-	// round trips. Without this delay, nodes that start together would all read
+	// round trips, and the node has joined with its next probe. Without this delay, nodes that start together would all read
 	// the stream again after each announcement.
-	joinAddressTimeout = 500 * time.Millisecond
+	joinAddressTimeout = 1500 * time.Millisecond
+	// emptyStreamDelay is the mean delay after a read that the platform did not
+	// hold although there was nothing to read: it cannot hold a read of a stream
+	// that has no record yet.
+	emptyStreamDelay = 300 * time.Millisecond
 	// retryDelay is the mean delay after a failed read or append.
 	retryDelay = time.Second
 	// readWait is how long the platform may hold the read of a node that has not
@@ -78,7 +82,7 @@
 	schedule := f.AnnounceSchedule.Get(tx)
 	if batch, found := f.LogBatches.Get(tx, eventlog.MembersStream); found {
 		f.LogBatches.Delete(tx, eventlog.MembersStream)
-		schedule.ReadAt = now.Add(f.processBatch(tx, batch))
+		schedule.ReadAt = now.Add(f.processBatch(tx, now, batch))
 		f.AnnounceSchedule.Set(tx, schedule)
 	}
 	if now.Before(schedule.ReadAt) {
@@ -88,18 +92,18 @@
 	if joined && !f.isRelay(tx) {
 		return controller.Result{RequeueAfter: f.withJitter(relayReadInterval)}
 	}
-	last, hasRead := f.Positions.Get(tx, eventlog.MembersStream)
+	last, _ := f.Positions.Get(tx, eventlog.MembersStream)
 	wait := readWait
-	if !hasRead || joined {
+	if joined {
 		wait = 0
 	}
-	f.LogReads.Put(tx, eventlog.MembersStream, tables.LogRead{From: last + 1, Wait: wait})
+	f.LogReads.Put(tx, eventlog.MembersStream, tables.LogRead{From: last + 1, Wait: wait, RequestedAt: now})
 	return controller.Result{}
 }
 
 // processBatch processes the result of a read and returns the delay until the
 // next one.
-func (f fleetController) processBatch(tx *blackboard.Tx, batch tables.LogBatch) time.Duration {
+func (f fleetController) processBatch(tx *blackboard.Tx, now time.Time, batch tables.LogBatch) time.Duration {
 	switch {
 	case eris.Is(batch.Err, eventlog.ErrExpired):
 		oldest, known := eventlog.OldestRetained(batch.Err)
@@ -123,6 +127,8 @@
 	switch {
 	case len(batch.Records) > 0 && !self.Joined:
 		return joinAddressTimeout
+	case !self.Joined && now.Sub(batch.RequestedAt) < readWait/2:
+		return f.withJitter(emptyStreamDelay)
 	case len(batch.Records) > 0 || !self.Joined:
 		return 0
 	}
--- a/front/approved/approved.go
+++ b/front/approved/approved.go
@@ -5,11 +5,14 @@
 package approved
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"io"
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -32,20 +35,30 @@
 	bodyTimeout  = 4 * time.Second
 
 	headerVersion = "Marigold-Version"
+	encodingGzip  = "gzip"
+	// minCompressedBytes is the size from which a document is compressed.
+	minCompressedBytes = 8 << 10
 )
 
 // Handler serves the document in force to peers. A GET waits up to the query
 // parameter wait (milliseconds, at most maxWait) for a document with a version
 // greater than the query parameter above. It responds with 200 and the document,
 // or with 204 if there is none in that time.
+//
+// A long document is compressed for peers that accept it: slow links carry it to
+// many peers at once. It is safe for concurrent use.
 type Handler struct {
 	Document interface {
 		Await(context.Context, func(tables.Document) bool) (tables.Document, error)
 	}
+
+	mu                sync.Mutex
+	compressed        []byte // the document of compressedVersion
+	compressedVersion mesh.Version
 }
 
 // ServeHTTP implements http.Handler.
-func (h Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	above, err := strconv.ParseUint(query.Get("above"), 10, 64)
 	wait, waitErr := strconv.Atoi(query.Get("wait"))
@@ -61,8 +74,40 @@
 		return
 	}
 	w.Header().Set(headerVersion, strconv.FormatUint(uint64(document.Version), 10))
-	// A write fails only if the peer closed the connection.
-	_, _ = io.WriteString(w, document.Raw)
+	if len(document.Raw) < minCompressedBytes || r.Header.Get("Accept-Encoding") != encodingGzip {
+		// A write fails only if the peer closed the connection.
+		_, _ = io.WriteString(w, document.Raw)
+		return
+	}
+	data, err := h.compress(document)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Encoding", encodingGzip)
+	_, _ = w.Write(data) // as above
+}
+
+// compress returns the compressed document. It compresses each version once.
+func (h *Handler) compress(d tables.Document) ([]byte, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.compressedVersion == d.Version {
+		return h.compressed, nil
+	}
+	var buffer bytes.Buffer
+	writer, err := gzip.NewWriterLevel(&buffer, gzip.BestSpeed)
+	if err != nil {
+		return nil, eris.Wrap(err, "approved: compress document")
+	}
+	if _, err := io.WriteString(writer, d.Raw); err != nil {
+		return nil, eris.Wrap(err, "approved: compress document")
+	}
+	if err := writer.Close(); err != nil {
+		return nil, eris.Wrap(err, "approved: compress document")
+	}
+	h.compressed, h.compressedVersion = buffer.Bytes(), d.Version
+	return h.compressed, nil
 }
 
 // Client requests documents from peers.
@@ -90,6 +135,7 @@
 		result.Err = eris.Wrap(err, "approved: create document request to peer")
 		return result
 	}
+	httpRequest.Header.Set("Accept-Encoding", encodingGzip)
 	response, err := c.HTTP.Do(httpRequest)
 	if err != nil {
 		result.Err = eris.Wrap(err, "approved: request document from peer")
@@ -100,6 +146,23 @@
 	return c.readDocument(response, result)
 }
 
+// readBody returns the body of a response, uncompressed.
+func readBody(response *http.Response) ([]byte, error) {
+	var body io.Reader = response.Body
+	if response.Header.Get("Content-Encoding") == encodingGzip {
+		uncompressed, err := gzip.NewReader(response.Body)
+		if err != nil {
+			return nil, err
+		}
+		body = uncompressed
+	}
+	raw, err := io.ReadAll(io.LimitReader(body, maxDocumentBytes+1))
+	if err == nil && len(raw) > maxDocumentBytes {
+		err = eris.Errorf("document is longer than %d bytes", maxDocumentBytes)
+	}
+	return raw, err
+}
+
 // readDocument adds the document in a peer's response to the result. Status 204
 // adds none.
 func (c Client) readDocument(response *http.Response, result tables.DocumentResult) tables.DocumentResult {
@@ -111,10 +174,7 @@
 		result.Err = eris.Errorf("approved: peer responded with status %d to document request", response.StatusCode)
 		return result
 	}
-	raw, err := io.ReadAll(io.LimitReader(response.Body, maxDocumentBytes+1))
-	if err == nil && len(raw) > maxDocumentBytes {
-		err = eris.Errorf("document is longer than %d bytes", maxDocumentBytes)
-	}
+	raw, err := readBody(response)
 	if err != nil {
 		result.Err = eris.Wrap(err, "approved: read document from peer's response body")
 		return result
--- a/node/adapter.go
+++ b/node/adapter.go
@@ -94,10 +94,10 @@
 	peers := approvedfront.Client{HTTP: &http.Client{Transport: n.transport(0)}, Decode: adapter.DecodeConfig}
 	outbox.Serve(ctx, n.ioPool, t.Board, "ask for documents", t.DocumentRequests, t.DocumentResults,
 		func(ctx context.Context, source string, request tables.DocumentRequest) tables.DocumentResult {
-			if source == approved.SourcePeers {
-				return peers.Fetch(ctx, request)
+			if source == approved.SourceStore {
+				return adapter.NextDocument(ctx, request)
 			}
-			return adapter.NextDocument(ctx, request)
+			return peers.Fetch(ctx, request)
 		})
 }
 
--- a/node/traffic.go
+++ b/node/traffic.go
@@ -87,7 +87,7 @@
 	if n.options.Adapter == nil {
 		n.registerControl(mux)
 	} else {
-		mux.Handle(approved.Path, approved.Handler{Document: n.tables.Document})
+		mux.Handle(approved.Path, &approved.Handler{Document: n.tables.Document})
 	}
 	forwarded := n.peerHandler()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
