Odd entries of other writers are refused; a restarted node verifies the first late report

Causes: a report with 2^40 slots, a sequence number of 2^63, a start in the far future, a port out of range or a name with control characters was accepted and could outrank the real backend server for good; a departure with an unreadable body counted; announcements with any address were join addresses; an error of the datagram socket ended membership. A refusal without the request's ID counted as proof that the request had not run, and its connection was used again. A restarted node took a late report "ready" from before a departure that its predecessor had acknowledged (docs/PLATFORM.md, Left open). Changes: bounds on every field, a counter and one line at level warn a writer and minute; the first report to a node that started later than its backend server is confirmed by the health check, else by the next report. Weighed for the restart: departures in the store (a call each, and the kill falls between report and write), in the members' records (a change of the datagrams), two reports in any case (1.5 s without the host at each restart). Deep nesting and large numbers in configurations and datagrams were refused before.

--- a/controllers/membership/announce.go
+++ b/controllers/membership/announce.go
@@ -143,7 +143,12 @@
 func (f fleetController) processRecord(tx *blackboard.Tx, r eventlog.Record) {
 	f.Positions.Put(tx, eventlog.MembersStream, r.Offset)
 	m, err := record.DecodeMember(r.Data)
-	if err != nil || m.ProbeAddress == "" {
+	if err != nil {
+		f.Count(EventMalformedAnnouncement)
+		f.OnMalformed(r.Offset, err)
+		return
+	}
+	if m.ProbeAddress == "" {
 		return
 	}
 	f.JoinAddresses.Put(tx, m.ProbeAddress, r.Offset)
--- a/controllers/membership/membership.go
+++ b/controllers/membership/membership.go
@@ -35,6 +35,9 @@
 	Random *rand.Rand
 	// Count is called with each event, inside a transaction; nil ignores events.
 	Count func(Event)
+	// OnMalformed is called with the offset of each announcement that cannot be
+	// used and the reason, inside a transaction; nil ignores it.
+	OnMalformed func(offset uint64, cause error)
 }
 
 // Event is the metric label of a membership event.
@@ -51,6 +54,8 @@
 	// EventRefuted: this node refuted a record of itself by raising its
 	// incarnation.
 	EventRefuted Event = "contradicted"
+	// EventMalformedAnnouncement: an announcement in the log could not be used.
+	EventMalformedAnnouncement Event = "malformed_announcement"
 	// EventZoneUnreachable: this node declared another zone unreachable.
 	EventZoneUnreachable Event = "zone_unreachable"
 )
@@ -71,6 +76,9 @@
 	if f.Count == nil {
 		f.Count = func(Event) {}
 	}
+	if f.OnMalformed == nil {
+		f.OnMalformed = func(uint64, error) {}
+	}
 	f.initTables(p.Now())
 	f.registerReceiver(p)
 	f.registerProber(p)
--- a/controllers/registration/registration.go
+++ b/controllers/registration/registration.go
@@ -47,11 +47,12 @@
 	handle := controller.Register(p, "registration", func(now time.Time, _ int) (result controller.Result) {
 		t.Board.Do(func(tx *blackboard.Tx) { result = r.reconcileTx(tx, now) },
 			t.Backend.Backend.Write(), t.Drain.Write(), t.Limits.Write(), t.SlotLimit.Write(),
-			t.Registrations.Write(), t.BackendObservations.Write())
+			t.Registrations.Write(), t.BackendObservations.Write(), t.BackendChecks.Write(), t.BackendCheckResults.Write())
 		return result
 	})
 	t.Registrations.Watch(func(uint64) { handle.Add(singletonKey) })
 	t.BackendObservations.Watch(func(uint64) { handle.Add(singletonKey) })
+	t.BackendCheckResults.Watch(func(string) { handle.Add(singletonKey) })
 	handle.Add(singletonKey)
 }
 
@@ -61,7 +62,10 @@
 // drain of a stopping node alone.
 func (r reconciler) reconcileTx(tx *blackboard.Tx, now time.Time) controller.Result {
 	before := r.Backend.Backend.Get(tx)
-	b := r.applyObservations(tx, now, r.applyReports(tx, now, before))
+	b := r.applyObservations(tx, now, r.applyReports(tx, now, r.applyChecks(tx, before)))
+	if b.Unverified && b.Sequence != before.Sequence {
+		r.BackendChecks.Put(tx, b.Instance, tables.BackendCheck{Sequence: b.Sequence})
+	}
 	if b != before {
 		r.Backend.Backend.Set(tx, b)
 	}
@@ -78,6 +82,25 @@
 	return controller.Result{}
 }
 
+// applyChecks applies the results of health checks.
+func (r reconciler) applyChecks(tx *blackboard.Tx, b registration.Backend) registration.Backend {
+	r.BackendCheckResults.Each(tx, func(instance string, result tables.BackendCheckResult) bool {
+		r.BackendCheckResults.Delete(tx, instance)
+		before := b
+		b = b.WithHealthCheck(instance, result.Healthy)
+		switch {
+		case b != before:
+			r.OnChange(before, b, "health check")
+		case b.Unverified && result.Err != nil:
+			r.OnChange(before, b, "no health check: "+result.Err.Error())
+		case b.Unverified:
+			r.OnChange(before, b, "health check failed")
+		}
+		return true
+	})
+	return b
+}
+
 // applyReports decides the reports that are not decided yet, in the order of
 // their arrival.
 func (r reconciler) applyReports(tx *blackboard.Tx, now time.Time, b registration.Backend) registration.Backend {
--- a/decide/registration/registration.go
+++ b/decide/registration/registration.go
@@ -74,6 +74,11 @@
 	// DownUntil is the end of the backoff after a failed connection; until then
 	// the backend server gets no requests.
 	DownUntil time.Time
+	// Unverified is true after the first report of a process that started later
+	// than the backend server, until the backend server confirms it. The report
+	// can be a late one from before a departure that the node's predecessor
+	// acknowledged; this process does not know of that.
+	Unverified bool
 	// Tombstone is an instance that reported itself gone while this process did
 	// not know it as the current instance. Its earlier reports can still
 	// arrive.
@@ -106,17 +111,24 @@
 	// Mismatched: the report is for another service or address than this
 	// node's.
 	Mismatched
+	// Implausible: the report has a start time far in the future. It would
+	// outrank every report of the real backend server.
+	Implausible
 )
 
 // String returns the outcome's name.
 func (v ReportOutcome) String() string {
-	names := [...]string{"accepted", "stale", "mismatched"}
+	names := [...]string{"accepted", "stale", "mismatched", "implausible"}
 	if int(v) >= len(names) {
 		return "invalid"
 	}
 	return names[v]
 }
 
+// maxClockSkew is the largest difference between the clocks of the node and of
+// the backend server. Both run on one host, but its time of day can be stepped.
+const maxClockSkew = 24 * time.Hour
+
 const (
 	// baseDownTime is the backoff after the first failed connection. It doubles
 	// with each further failure, and an accepted report ends it.
@@ -129,6 +141,9 @@
 // Apply returns the state after report r and the outcome of the report. own has
 // the service and the address from the node's settings.
 func Apply(now time.Time, b Backend, r Report, own Report) (Backend, ReportOutcome) {
+	if r.StartedAtMillis > now.Add(maxClockSkew).UnixMilli() {
+		return b, Implausible
+	}
 	if r.Phase == Gone {
 		return b.applyGone(r)
 	}
@@ -140,7 +155,26 @@
 	if late || !b.isNewer(r) {
 		return b, Stale
 	}
-	return Backend{Report: r, LastReportAt: now, WarmupUntil: now.Add(r.WarmupRemaining), Tombstone: tombstone}, Accepted
+	return Backend{
+		Report: r, LastReportAt: now, WarmupUntil: now.Add(r.WarmupRemaining), Tombstone: tombstone,
+		Unverified: b.startsUnverified(r),
+	}, Accepted
+}
+
+// startsUnverified reports whether an accepted report can be a late one from
+// before a departure that this process does not know of. A report under the name
+// in Tombstone is from a later start, or it would not have been accepted.
+func (b Backend) startsUnverified(r Report) bool {
+	return b.Phase == Unknown && r.Phase == Ready && r.Sequence > maxStartSequence && r.Instance != b.Tombstone.Instance
+}
+
+// WithHealthCheck returns the state after a health check of the instance: a good
+// one confirms the report. A bad one leaves it to the next report.
+func (b Backend) WithHealthCheck(instance string, healthy bool) Backend {
+	if instance == b.Instance && healthy {
+		b.Unverified = false
+	}
+	return b
 }
 
 // applyGone returns the state after a report that an instance is gone. If the
@@ -191,7 +225,7 @@
 
 // Available reports whether the backend server can get requests at now.
 func (b Backend) Available(now time.Time) bool {
-	return b.Phase == Ready && !now.Before(b.DownUntil)
+	return b.Phase == Ready && !b.Unverified && !now.Before(b.DownUntil)
 }
 
 // WithConnectFailure returns the state after a failed connection to the backend
--- a/decide/route/approved.go
+++ b/decide/route/approved.go
@@ -35,7 +35,7 @@
 		return nil, l.faults
 	}
 	return &Table{
-		Version: a.Version, Limits: a.Limits, Connections: a.MaxConnections, literal: index,
+		Version: a.Version, Limits: a.Limits, Connections: a.MaxConnections, HealthPaths: a.HealthPaths, literal: index,
 	}, nil
 }
 
--- a/decide/route/route.go
+++ b/decide/route/route.go
@@ -27,6 +27,9 @@
 	// Connections bounds the connections to one backend server of each service.
 	// Only approved configuration sets it.
 	Connections map[mesh.ServiceName]int
+	// HealthPaths holds the path of the health check of each service. Only
+	// approved configuration sets it.
+	HealthPaths map[mesh.ServiceName]string
 	byHost      Index
 	// literal is nil unless the table is compiled from approved configuration.
 	literal literalIndex
--- a/encoding/hop/pool.go
+++ b/encoding/hop/pool.go
@@ -51,6 +51,10 @@
 	// IsResponseTo reports whether a response belongs to the request; nil accepts
 	// every response.
 	IsResponseTo func(response *http.Response, sent *http.Request) bool
+	// IsAuthentic reports whether a response is certain to be the one to the
+	// request. After any other one the connection is closed, because the response
+	// to the request may still follow on it. Nil accepts every response.
+	IsAuthentic func(response *http.Response, sent *http.Request) bool
 
 	mu   sync.Mutex
 	idle []*poolConn // the most recently used one is last
@@ -89,9 +93,10 @@
 		return nil, err
 	}
 	c.maxIdle = maxIdleFrom(response.Header)
+	isAuthentic := p.IsAuthentic == nil || p.IsAuthentic(response, r)
 	response.Body = &poolBody{
 		ReadCloser: response.Body, pool: p, conn: c, stop: stop, written: written,
-		keepAlive: !response.Close && !r.Close, empty: response.ContentLength == 0 || response.Body == http.NoBody,
+		keepAlive: isAuthentic && !response.Close && !r.Close, empty: response.ContentLength == 0 || response.Body == http.NoBody,
 	}
 	return response, nil
 }
--- a/encoding/hop/pool_test.go
+++ b/encoding/hop/pool_test.go
@@ -111,6 +111,32 @@
 	must.Eq(t, 1, s.conns.Load())
 }
 
+// Guards against a response that names no request: the second copy of an earlier
+// one, while the response to this request is still to come. The connection must
+// not go back to the pool, where the next request would read that response.
+func TestPoolClosesAConnectionAfterAResponseWithoutID(t *testing.T) {
+	s := startScripted(t, func(id string, _ io.Reader, c net.Conn) bool {
+		if id == "a" {
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+			time.Sleep(50 * time.Millisecond)
+		}
+		_, _ = io.WriteString(c, responseTo(id, id))
+		return true
+	})
+	p := newPool()
+	p.IsResponseTo = func(response *http.Response, sent *http.Request) bool {
+		return response.Header.Get("Id") == "" || response.Header.Get("Id") == sent.Header.Get("Id")
+	}
+	p.IsAuthentic = func(response *http.Response, _ *http.Request) bool { return response.Header.Get("Id") != "" }
+	body, failure := roundTrip(t, p, s, "a", nil)
+	must.Nil(t, failure)
+	must.Eq(t, "", body)
+	body, failure = roundTrip(t, p, s, "b", nil)
+	must.Nil(t, failure)
+	must.Eq(t, "b", body)
+	must.Eq(t, 2, s.conns.Load())
+}
+
 // TestPoolSkipsResponsesToOtherRequests checks that the pool skips a response to
 // an earlier request that arrives where the next response is expected.
 func TestPoolSkipsResponsesToOtherRequests(t *testing.T) {
--- a/encoding/probe/address.go
+++ b/encoding/probe/address.go
@@ -28,7 +28,7 @@
 	if err := address.UnmarshalBinary(data); err != nil {
 		return "", eris.Wrap(err, "probe: decode address")
 	}
-	if address.Addr().Zone() != "" || !address.IsValid() {
+	if address.Addr().Zone() != "" || !address.IsValid() || address.Port() == 0 {
 		return "", ErrMalformed
 	}
 	return address.String(), nil
--- a/encoding/record/record.go
+++ b/encoding/record/record.go
@@ -42,8 +42,21 @@
 // EncodeMember encodes an announcement of the members stream.
 func EncodeMember(m mesh.Member) ([]byte, error) { return encode(m) }
 
-// DecodeMember decodes an announcement of the members stream.
-func DecodeMember(data []byte) (mesh.Member, error) { return decode[mesh.Member](data) }
+// maxMemberBytes bounds an announcement.
+const maxMemberBytes = 8 << 10
+
+// DecodeMember decodes an announcement of the members stream. It returns an error
+// if the record cannot be that of a node.
+func DecodeMember(data []byte) (mesh.Member, error) {
+	if len(data) > maxMemberBytes {
+		return mesh.Member{}, eris.New("record: announcement exceeds the size limit")
+	}
+	m, err := decode[mesh.Member](data)
+	if err != nil {
+		return mesh.Member{}, err
+	}
+	return m, m.Check()
+}
 
 func encode(value any) ([]byte, error) {
 	data, err := json.Marshal(value)
--- a/front/probe/probe.go
+++ b/front/probe/probe.go
@@ -39,6 +39,8 @@
 	// EventNotSent: a message was too large, its address was invalid, or the
 	// socket returned an error.
 	EventNotSent Event = "not_sent"
+	// EventReceiveFailed: the socket returned an error.
+	EventReceiveFailed Event = "receive_failed"
 	// EventMalformed: a received datagram could not be decoded.
 	EventMalformed Event = "malformed"
 	// EventNotAuthentic: a received datagram was not authenticated with the
@@ -101,9 +103,12 @@
 	tr.Count(EventSent, len(data))
 }
 
+// receiveRetryDelay is the delay after an error of the socket.
+const receiveRetryDelay = 10 * time.Millisecond
+
 // Receive puts received messages into the inbox until ctx ends, then closes the
-// socket and returns nil. It returns an error if reading from the socket fails
-// before that.
+// socket and returns nil. It returns an error if the socket is closed before
+// that.
 func (tr Transport) Receive(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { tr.Socket.Close() })
 	defer stop()
@@ -119,9 +124,16 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		if err != nil {
+		if eris.Is(err, net.ErrClosed) {
 			return eris.Wrap(err, "probe: receive membership datagram")
 		}
+		if err != nil {
+			// Without datagrams the node would be taken for dead, so an error that
+			// passes does not end the loop.
+			tr.Count(EventReceiveFailed, 0)
+			time.Sleep(receiveRetryDelay)
+			continue
+		}
 		number++
 		tr.putReceived(number, buffer[:length], from.String())
 	}
--- a/mesh/route.go
+++ b/mesh/route.go
@@ -54,7 +54,10 @@
 	// MaxConnections is the maximum number of connections to a backend server, by
 	// service.
 	MaxConnections map[ServiceName]int
-	Limits         CallerLimits
+	// HealthPaths holds the path of the health check of a service's backend
+	// servers.
+	HealthPaths map[ServiceName]string
+	Limits      CallerLimits
 	// Warnings lists the entries that were read only in part, for logs.
 	Warnings []ConfigWarning
 }
--- a/node/adapter.go
+++ b/node/adapter.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -42,6 +43,9 @@
 		apply func(context.Context, decide.Report) (decide.ReportOutcome, error),
 		malformed func(instance string, cause error),
 	) http.Handler
+	// IsHealthy reports whether the response to a health check says that the given
+	// instance of the backend server accepts requests.
+	IsHealthy(response *http.Response, instance string) bool
 	// ReadinessHandler returns the handler of the listener at which the platform
 	// queries whether the node accepts callers. unready returns the reason why it
 	// does not, and an empty string when it does.
@@ -99,6 +103,36 @@
 			}
 			return peers.Fetch(ctx, request)
 		})
+	checks := &http.Client{Transport: n.transport(0)}
+	outbox.Serve(ctx, n.ioPool, t.Board, "check backend server", t.BackendChecks, t.BackendCheckResults,
+		func(ctx context.Context, instance string, _ tables.BackendCheck) tables.BackendCheckResult {
+			return n.checkBackend(ctx, checks, instance)
+		})
+}
+
+// healthCheckTimeout limits a health check of the own backend server.
+const healthCheckTimeout = 500 * time.Millisecond
+
+// checkBackend checks the health of an instance of the own backend server.
+func (n *Node) checkBackend(ctx context.Context, client *http.Client, instance string) tables.BackendCheckResult {
+	own := n.options.Settings.Backend
+	routes := n.tables.Routes.Load()
+	if routes == nil || routes.HealthPaths[own.Service] == "" {
+		return tables.BackendCheckResult{Err: eris.New("the configuration names no health check")}
+	}
+	ctx, cancel := context.WithTimeout(ctx, healthCheckTimeout)
+	defer cancel()
+	address := url.URL{Scheme: "http", Host: own.Address, Path: routes.HealthPaths[own.Service]}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address.String(), nil)
+	if err != nil {
+		return tables.BackendCheckResult{Err: eris.Wrap(err, "create health check")}
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return tables.BackendCheckResult{Err: eris.Wrap(err, "check health of the backend server")}
+	}
+	response.Body.Close()
+	return tables.BackendCheckResult{Healthy: n.options.Adapter.IsHealthy(response, instance)}
 }
 
 // dialect returns the header format that callers and backend servers use.
@@ -121,6 +155,9 @@
 		IsResponseTo: func(response *http.Response, sent *http.Request) bool {
 			return dialect.ClassifyResponse(response, sent) != hop.ResponseMismatched
 		},
+		IsAuthentic: func(response *http.Response, sent *http.Request) bool {
+			return dialect.ClassifyResponse(response, sent) != hop.ResponseNotAuthentic
+		},
 	}
 	n.backendPools = append(n.backendPools, pool)
 	return pool
--- a/node/membership.go
+++ b/node/membership.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/marigoldshelf/marigoldshelf/controllers/endpoints"
 	"github.com/marigoldshelf/marigoldshelf/controllers/membership"
 	timing "github.com/marigoldshelf/marigoldshelf/decide/membership"
@@ -31,6 +33,9 @@
 		Count: func(e membership.Event) {
 			n.options.Metrics.Count(membershipEvent, verdict.Reason(e))
 		},
+		OnMalformed: func(offset uint64, cause error) {
+			n.record.malformed("announcement", "log", eris.Wrapf(cause, "offset %d", offset))
+		},
 	})
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -110,7 +110,7 @@
 		sendPool: controller.NewPool(o.Clock, sendWorkers),
 	}
 	n.traffic.Store(&o.Settings.Traffic)
-	n.record = recorder{events: o.Events, metrics: o.Metrics}
+	n.record = recorder{events: o.Events, metrics: o.Metrics, malformedLines: logs.NewPerKey(malformedInterval)}
 	if err := n.openListeners(); err != nil {
 		return nil, err
 	}
--- a/node/record.go
+++ b/node/record.go
@@ -33,6 +33,8 @@
 type recorder struct {
 	events  *logs.Events
 	metrics *metrics.Metrics
+	// malformedLines limits the lines about malformed entries.
+	malformedLines *logs.PerKey
 }
 
 // callFields adds the fields that all lines about a caller's request have.
@@ -133,9 +135,31 @@
 	}
 }
 
+// malformedEvent counts the entries of other writers that cannot be used, by
+// where they came from.
+const malformedEvent = "malformed"
+
+// malformedInterval is the minimum time between two lines about malformed entries
+// of one writer.
+const malformedInterval = time.Minute
+
+// maxWriterBytes limits the name of a writer in the log.
+const maxWriterBytes = 64
+
 func (r recorder) reportMalformed(instance string, cause error) {
-	if e := r.events.Line(logs.StateChange, partBackend); e != nil {
-		e.Str("instance", instance).Str("cause", cause.Error()).Msg("report cannot be read")
+	r.malformed("report", instance, cause)
+}
+
+// malformed counts an entry of another writer that cannot be used, and logs the
+// first one of a writer and minute.
+func (r recorder) malformed(source, writer string, cause error) {
+	r.metrics.Count(malformedEvent, verdict.Reason(source))
+	writer = writer[:min(len(writer), maxWriterBytes)]
+	if !r.malformedLines.Allow(source+" "+writer, time.Now()) {
+		return
+	}
+	if e := r.events.Warning(logs.StateChange, partBackend); e != nil {
+		e.Str("source", source).Str("writer", writer).Str("cause", firstLine(cause)).Msg("malformed entry ignored")
 	}
 }
 
--- a/tables/backend.go
+++ b/tables/backend.go
@@ -22,12 +22,33 @@
 	// Registrations holds the received reports, by sequence number. Added and
 	// deleted by the front end, decided by the controller registration.
 	Registrations *blackboard.Table[uint64, RegistrationRow]
+	// BackendChecks is the outbox of health checks of the backend server,
+	// BackendCheckResults the inbox of their results, by instance. Added by the
+	// controller registration, deleted by it with the result.
+	BackendChecks       *blackboard.Table[string, BackendCheck]
+	BackendCheckResults *blackboard.Table[string, BackendCheckResult]
 	// BackendObservations holds observations about the backend server from
 	// requests sent to it, by sequence number. Added by the front end, deleted
 	// by the controller registration once they are applied.
 	BackendObservations *blackboard.Table[uint64, BackendObservation]
 }
 
+// BackendCheck is a request to an I/O worker to check the health of the node's
+// own backend server.
+type BackendCheck struct {
+	// Sequence is the sequence number of the report that is checked.
+	Sequence uint64
+}
+
+// BackendCheckResult is the result of a BackendCheck.
+type BackendCheckResult struct {
+	// Healthy is true if the instance that was checked answered that it accepts
+	// requests.
+	Healthy bool
+	// Err is why there is no answer.
+	Err error
+}
+
 // BackendObservation is an observation about the node's own backend server,
 // from a request sent to it.
 type BackendObservation struct {
@@ -51,6 +72,8 @@
 	return Backend{
 		Backend:             blackboard.NewCell[registration.Backend](b, "backend", rankBackend),
 		Registrations:       blackboard.NewTable[uint64, RegistrationRow](b, "registrations", rankRegistrations),
+		BackendChecks:       blackboard.NewTable[string, BackendCheck](b, "backend_checks", rankBackendChecks),
+		BackendCheckResults: blackboard.NewTable[string, BackendCheckResult](b, "backend_check_results", rankBackendCheckResults),
 		BackendObservations: blackboard.NewTable[uint64, BackendObservation](b, "sendings", rankBackendObservations),
 	}
 }
--- a/tables/order.go
+++ b/tables/order.go
@@ -89,6 +89,8 @@
 	// configuration: 976 to 979.
 	rankRegistrations       blackboard.Rank = 976
 	rankBackendObservations blackboard.Rank = 977
+	rankBackendChecks       blackboard.Rank = 971
+	rankBackendCheckResults blackboard.Rank = 972
 	rankDocumentRequests    blackboard.Rank = 978
 	rankDocumentResults     blackboard.Rank = 979
 
