--- a/node/adapter.go
+++ b/node/adapter.go
@@ -14,6 +14,7 @@
 	"github.com/marigoldshelf/marigoldshelf/controllers/registration"
 	"github.com/marigoldshelf/marigoldshelf/decide/drain"
 	decide "github.com/marigoldshelf/marigoldshelf/decide/registration"
+	"github.com/marigoldshelf/marigoldshelf/decide/route"
 	"github.com/marigoldshelf/marigoldshelf/encoding/hop"
 	approvedfront "github.com/marigoldshelf/marigoldshelf/front/approved"
 	registrationfront "github.com/marigoldshelf/marigoldshelf/front/registration"
@@ -110,18 +111,23 @@
 		})
 }
 
-// healthCheckTimeout limits a health check of the own backend server.
-const healthCheckTimeout = 500 * time.Millisecond
+// healthCheckTimeout limits a health check of the own backend server, together
+// with the wait for the configuration that has its path.
+const healthCheckTimeout = time.Second
 
-// checkBackend checks the health of an instance of the own backend server.
+// checkBackend checks the health of an instance of the own backend server. The
+// first report of the backend server can come before the first configuration.
 func (n *Node) checkBackend(ctx context.Context, client *http.Client, instance string) tables.BackendCheckResult {
 	own := n.options.Settings.Backend
-	routes := n.tables.Routes.Load()
-	if routes == nil || routes.HealthPaths[own.Service] == "" {
-		return tables.BackendCheckResult{Err: eris.New("the configuration names no health check")}
-	}
 	ctx, cancel := context.WithTimeout(ctx, healthCheckTimeout)
 	defer cancel()
+	routes, err := n.tables.Routes.Await(ctx, func(t *route.Table) bool { return t != nil })
+	if err != nil {
+		return tables.BackendCheckResult{Err: eris.Wrap(err, "await configuration")}
+	}
+	if routes.HealthPaths[own.Service] == "" {
+		return tables.BackendCheckResult{Err: eris.New("the configuration names no health check")}
+	}
 	address := url.URL{Scheme: "http", Host: own.Address, Path: routes.HealthPaths[own.Service]}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address.String(), nil)
 	if err != nil {
