--- a/encoding/hop/pool_test.go
+++ b/encoding/hop/pool_test.go
@@ -241,3 +241,34 @@
 	must.Nil(t, failure)
 	must.Eq(t, 2, s.conns.Load())
 }
+
+// Guards against a long body without length whose connection is reset, passed on
+// as a whole one: only the beginning is buffered, the rest is streamed.
+func TestLongUndelimitedBodyThatIsResetIsNotComplete(t *testing.T) {
+	long := strings.Repeat("b", 300<<10)
+	for name, reset := range map[string]bool{"closed": false, "reset": true} {
+		s := startScripted(t, func(id string, _ io.Reader, c net.Conn) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\n\r\n"+long)
+			if reset {
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+			return false
+		})
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+s.address+"/", nil)
+		must.NoError(t, err)
+		r.Header.Set("Id", "a")
+		response, failure := hop.Send(newPool(), r)
+		must.Nil(t, failure)
+		if failure := hop.BufferShortBody(response); failure != nil {
+			must.True(t, reset, must.Sprint(name))
+			must.Eq(t, verdict.ResponseTruncated, failure.Reason)
+			continue
+		}
+		n, err := io.Copy(io.Discard, response.Body)
+		must.Eq(t, reset, err != nil, must.Sprint(name))
+		if !reset {
+			must.Eq(t, int64(len(long)), n)
+		}
+		_ = response.Body.Close()
+	}
+}
--- a/front/caller/attempt.go
+++ b/front/caller/attempt.go
@@ -66,6 +66,10 @@
 	if failure == nil {
 		failure = h.CheckSend(x.request, c.Rule.Class)
 	}
+	if failure == nil && !sentAt.Before(c.Deadline) {
+		// The process was held up after the attempt was decided.
+		failure = verdict.New(verdict.NotRun, verdict.DeadlineExceeded, nil)
+	}
 	if failure == nil {
 		response, metadata, failure = h.forward(request.WithContext(ctx))
 	}
--- a/front/peer/handler.go
+++ b/front/peer/handler.go
@@ -173,6 +173,11 @@
 // sendToBackend sends the request to the backend server and returns the response,
 // whose body is buffered whole if it is short.
 func (h *Handler) sendToBackend(ctx context.Context, w http.ResponseWriter, r *http.Request, forwarded hop.Request, deadline time.Time) (*http.Response, *verdict.Error) {
+	if !h.Clock.Now().Before(deadline) {
+		// The process was held up after the request got its slot. The caller has
+		// given up by now, and may have repeated the request.
+		return nil, verdict.New(verdict.NotRun, verdict.DeadlineExceeded, nil)
+	}
 	instance := ""
 	if h.Instance != nil {
 		instance = h.Instance()
