Downloads hold a third of the slots beside other requests

Calls of lease-books wait behind the transfers, miss their deadline, and the lease-books fail with the slot of order-desk spent. Change: beside other requests downloads have a third of the slots, alone all.

--- a/controllers/membership/announce.go
+++ b/controllers/membership/announce.go
@@ -27,8 +27,9 @@
 	joinTimeout = 3 * time.Second
 	// joinAddressTimeout is how long a node that has not joined tries the addresses
 	// found by a read before it reads again. A running node replies within two
-	// round trips, and the node has joined with its next probe. Without this delay, nodes that start together would all read
-	// the stream again after each announcement.
+	// round trips, and the node has joined with its next probe. Without this
+	// delay, nodes that start together would all read the stream again after each
+	// announcement.
 	joinAddressTimeout = 1500 * time.Millisecond
 	// emptyStreamDelay is the mean delay after a read that the platform did not
 	// hold although there was nothing to read: it cannot hold a read of a stream
--- a/decide/admit/admit.go
+++ b/decide/admit/admit.go
@@ -4,9 +4,9 @@
 //
 // Short requests (bookings, lookups) can use every slot. Uploads, downloads and
 // background requests together are limited to a share of the slots that is smaller
-// than the total, so a booking never waits for one of them to end. Where routes set
-// priorities (Limits.PriorityOnly), priority alone decides and classes have no
-// shares.
+// than the total, so a booking never waits for one of them to end. Where routes
+// set priorities (Limits.PriorityOnly), priority alone decides, and only downloads
+// have a share.
 //
 // The package holds no state: the caller passes the requests and limits, and
 // writes the decisions back.
@@ -76,7 +76,8 @@
 	// Draining is true while the backend server takes no new requests.
 	Draining bool
 	// PriorityOnly is true where routes set priorities: priority alone orders
-	// the requests, and classes have no shares of slots and queue.
+	// the requests, and of the classes only downloads have a share of the slots,
+	// beside other requests.
 	PriorityOnly bool
 	// ServiceTimes holds the observed service times.
 	ServiceTimes ServiceTimes
@@ -94,6 +95,9 @@
 	}
 	waiting := make([]Request, 0, len(requests))
 	for _, r := range requests {
+		if r.Class != mesh.Download && (r.State == Granted || r.State == Waiting) {
+			d.shortPresent = true
+		}
 		switch r.State {
 		case Granted:
 			d.busy[r.Class.Index()]++
@@ -114,12 +118,15 @@
 
 // decision is the state of one pass over the waiting requests.
 type decision struct {
-	now        time.Time
-	limits     Limits
-	busy       [mesh.NumClasses]int // slots in use, by class index
-	queued     int
-	queuedTime time.Duration // sum of the mean service times of the queued requests
-	changed    []Request
+	now    time.Time
+	limits Limits
+	busy   [mesh.NumClasses]int // slots in use, by class index
+	// shortPresent is true if a request of another class than downloads runs or
+	// waits.
+	shortPresent bool
+	queued       int
+	queuedTime   time.Duration // sum of the mean service times of the queued requests
+	changed      []Request
 }
 
 // decide returns the request granted, refused or still waiting, and counts it
@@ -205,7 +212,7 @@
 		return false
 	}
 	if d.limits.PriorityOnly {
-		return true
+		return c != mesh.Download || !d.shortPresent || d.busy[c.Index()] < downloadSlots(d.limits.Slots)
 	}
 	background := d.busy[mesh.Background.Index()]
 	longRunning := d.busy[mesh.Upload.Index()] + d.busy[mesh.Download.Index()] + background
@@ -232,6 +239,13 @@
 // all where there are two or more.
 func longRunningSlots(slots int) int { return max(slots*2/3, 1) }
 
+// downloadSlots returns the maximum number of slots that downloads hold beside
+// other requests where routes set priorities. A download keeps its slot until its
+// response is transferred. On a slow link the transfers take longer the more of
+// them share it, until downloads hold every slot, and the responses of short
+// requests wait behind them on the link.
+func downloadSlots(slots int) int { return max(slots/3, 1) }
+
 // backgroundSlots returns the maximum number of slots that background requests
 // hold.
 func backgroundSlots(slots int) int { return max(slots/4, 1) }
--- a/tables/fleet.go
+++ b/tables/fleet.go
@@ -36,8 +36,8 @@
 	ZoneBroadcasts *blackboard.Table[mesh.Zone, int]
 	// JoinAddresses holds the probe addresses that the node can join through,
 	// from the seeds and from the announcements in the log, with the offset of
-	// the announcement; zero for a seed. They are used until the node has
-	// joined.
+	// the announcement; zero for a seed. The node joins through them, and later
+	// looks for parts of the fleet behind those that belong to no known host.
 	JoinAddresses *blackboard.Table[string, uint64]
 	// AnnounceSchedule is when the node next reads the stream of announcements
 	// and considers announcing itself.
