Names in UTF-8 are names: only control characters and broken text are odd

Cause, found in reading the diff: settings allow any name, but the new check of announcements refused all but ASCII, so a node of zone Tétouan could not have been found. Change: control characters and invalid UTF-8 are refused, by settings too. Instances, which are sent as headers, stay ASCII.

--- a/encoding/record/member_test.go
+++ b/encoding/record/member_test.go
@@ -18,6 +18,8 @@
 	m, err := record.DecodeMember([]byte(memberRecord))
 	must.NoError(t, err)
 	must.Eq(t, "10.0.0.1:7201", m.ProbeAddress)
+	_, err = record.DecodeMember([]byte(strings.Replace(memberRecord, `"zone":"z"`, `"zone":"Tétouan"`, 1)))
+	must.NoError(t, err, must.Sprint("settings allow any name in UTF-8"))
 	for _, odd := range []string{
 		"", "{}", "null", "[]", "\xff\xfe", strings.Repeat("[", 100_000),
 		strings.Replace(memberRecord, `"zone":"z"`, `"zone":`+strings.Repeat("[", 4000)+strings.Repeat("]", 4000), 1),
--- a/mesh/check.go
+++ b/mesh/check.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/netip"
-	"strconv"
+	"strings"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/rotisserie/eris"
 )
@@ -33,16 +35,17 @@
 	return CheckAddress(m.ProbeAddress)
 }
 
-// CheckName returns an error if a name is longer than maxBytes or has anything
-// but printable ASCII characters.
+// CheckName returns an error if a name is longer than maxBytes, is not valid
+// UTF-8 or has control characters.
 func CheckName(name string, maxBytes int) error {
 	if len(name) > maxBytes {
 		return eris.Errorf("mesh: name of %d bytes, the most is %d", len(name), maxBytes)
 	}
-	for i := range len(name) {
-		if name[i] < ' ' || name[i] > '~' {
-			return eris.Errorf("mesh: name has byte %s at %d", strconv.QuoteRune(rune(name[i])), i)
-		}
+	if !utf8.ValidString(name) {
+		return eris.New("mesh: name is not valid UTF-8")
+	}
+	if strings.ContainsFunc(name, unicode.IsControl) {
+		return eris.Errorf("mesh: name %q has control characters", name)
 	}
 	return nil
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -307,6 +307,8 @@
 func (c *checker) nameLength(key, value string) {
 	if len(value) > maxNameBytes {
 		c.add(key, "must have at most "+strconv.Itoa(maxNameBytes)+" bytes")
+	} else if mesh.CheckName(value, maxNameBytes) != nil {
+		c.add(key, "must be UTF-8 without control characters") // other nodes ignore such a node
 	}
 }
 
