--- a/decide/call/waited.go
+++ b/decide/call/waited.go
@@ -23,8 +23,7 @@
 	// nestedRatioWeight is the weight of one request in RouteState.NestedRatio.
 	nestedRatioWeight = 1.0 / 16
 	// minNestedRatio is the ratio from which the requests of a route count as
-	// calls. Callers' own requests match a run by chance less than one time in
-	// three, calls nearly always.
+	// calls. Callers' own requests match a run only by chance, calls nearly always.
 	minNestedRatio = 0.6
 )
 
--- a/decide/reader/reader.go
+++ b/decide/reader/reader.go
@@ -21,9 +21,8 @@
 	// minFeedZone is the smallest zone in which not every node reads. Below it
 	// the saved calls are not worth the additional hop.
 	minFeedZone = 2*readersPerZone + 1
-	// childrenPerNode is the number of nodes that one node feeds. A compressed
-	// document of 30 KB reaches them within 0.3 s on a link of 7 Mbit/s, and
-	// three levels cover a zone of 200 nodes.
+	// childrenPerNode is the number of nodes that one node feeds. It bounds what a
+	// slow link carries at a change; three levels cover a zone of 200 nodes.
 	childrenPerNode = 8
 )
 
