--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,10 +18,11 @@
 // cases are the cases by name. Each returns whether the rule was broken. With
 // trouble false it leaves out the disruption.
 var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){
-	"endless": runEndless,
-	"late":    runLateReports,
-	"encoded": runEncodedSlash,
-	"odd":     runOddReport,
+	"endless":  runEndless,
+	"late":     runLateReports,
+	"bookings": runAbandonedBookings,
+	"encoded":  runEncodedSlash,
+	"odd":      runOddReport,
 }
 
 var errUnknownCase = errors.New("unknown case")
