Review case 2: count only once the restarted node is known to be ready

Cause: on a slow machine the start of the node could outlast the bound of drain, and requests before the stability window would have been counted. Change: the script sets the bound after the restart.

--- a/review/standin/late.go
+++ b/review/standin/late.go
@@ -65,9 +65,7 @@
 	}
 	acknowledged := time.Now()
 	f.add("node %s acknowledged the departure of its backend server", h.name)
-	mu.Lock()
-	leaving, bindsAt = b, acknowledged.Add(drainTime)
-	mu.Unlock()
+	binding := acknowledged.Add(drainTime)
 	if trouble {
 		time.Sleep(200 * time.Millisecond)
 		h.kill()
@@ -75,17 +73,17 @@
 		if err := h.startNode(); err != nil {
 			return false, err
 		}
-		restarted := time.Now()
+		// The new process is in touch once it has run for the stability window.
+		if inTouch := time.Now().Add(stability); inTouch.After(binding) {
+			binding = inTouch
+		}
 		if err := h.awaitReady(); err != nil {
 			return false, err
 		}
-		// The new process is in touch once it has run for the stability window.
-		mu.Lock()
-		if inTouch := restarted.Add(stability); inTouch.After(bindsAt) {
-			bindsAt = inTouch
-		}
-		mu.Unlock()
 	}
+	mu.Lock()
+	leaving, bindsAt = b, binding
+	mu.Unlock()
 	time.Sleep(500 * time.Millisecond)
 	f.add("late report 1 arrives at %s, acknowledged %t", h.name, b.send(first))
 	time.Sleep(500 * time.Millisecond)
