--- a/decide/registration/registration.go
+++ b/decide/registration/registration.go
@@ -155,12 +155,22 @@
 	if late || !b.isNewer(r) {
 		return b, Stale
 	}
+	unverified := b.startsUnverified(r)
+	if b.isSameStart(r) {
+		r.Sequence = max(r.Sequence, b.Sequence)
+	}
 	return Backend{
 		Report: r, LastReportAt: now, WarmupUntil: now.Add(r.WarmupRemaining), Tombstone: tombstone,
-		Unverified: b.startsUnverified(r),
+		Unverified: unverified,
 	}, Accepted
 }
 
+// isSameStart reports whether r is from the same start of the backend server as
+// the last accepted report.
+func (b Backend) isSameStart(r Report) bool {
+	return b.Phase != Unknown && r.Instance == b.Instance && r.StartedAtMillis == b.StartedAtMillis
+}
+
 // startsUnverified reports whether an accepted report can be a late one from
 // before a departure that this process does not know of. A report under the name
 // in Tombstone is from a later start, or it would not have been accepted.
@@ -212,13 +222,17 @@
 	switch {
 	case b.Phase == Unknown:
 		return true
-	case r.StartedAtMillis != b.StartedAtMillis && r.StartedAtMillis != 0 && b.StartedAtMillis != 0:
+	case r.StartedAtMillis != b.StartedAtMillis:
+		// A report without a start time is older than all that have one.
 		return r.StartedAtMillis > b.StartedAtMillis
 	case r.Instance != b.Instance:
-		// Without both start times, a new name means a new backend server.
 		return true
 	case b.Phase == Gone:
 		return false
+	case b.Phase == Ready && r.Phase == Draining:
+		// A backend server does not take back a drain, so a late report of one
+		// holds too.
+		return true
 	}
 	return r.Sequence > b.Sequence
 }
--- a/decide/registration/registration_test.go
+++ b/decide/registration/registration_test.go
@@ -53,6 +53,34 @@
 	apply(t, b, report("a", registration.Ready, 10, 100), registration.Stale)
 }
 
+// A report without a start time is older than every report that has one. Otherwise
+// it would replace the known start time, and with it the order of all later ones.
+func TestReportWithoutStartTimeDoesNotReplaceAKnownOne(t *testing.T) {
+	for _, instance := range []string{"a", "b"} {
+		b := apply(t, registration.Backend{}, report("a", registration.Ready, 4, 100), registration.Accepted)
+		b = apply(t, b, report(instance, registration.Ready, 5000, 0), registration.Stale)
+		b = apply(t, b, report("a", registration.Draining, 5, 100), registration.Accepted)
+		must.False(t, b.Available(start))
+	}
+	b := apply(t, registration.Backend{}, report("a", registration.Ready, 5000, 0), registration.Accepted)
+	b = apply(t, b, report("a", registration.Ready, 2, 200), registration.Accepted)
+	must.Eq(t, 2, b.Sequence)
+}
+
+// A backend server does not take back a drain, so its report of one holds whatever
+// sequence number another writer's report has had, and stays in force.
+func TestDrainHoldsAgainstAHigherSequenceNumber(t *testing.T) {
+	b := apply(t, registration.Backend{}, report("a", registration.Ready, 4, 100), registration.Accepted)
+	b = apply(t, b, report("a", registration.Ready, 5000, 100), registration.Accepted)
+	b = apply(t, b, report("a", registration.Draining, 5, 100), registration.Accepted)
+	must.False(t, b.Available(start))
+	b = apply(t, b, report("a", registration.Ready, 4999, 100), registration.Stale)
+	must.False(t, b.Available(start))
+	b = apply(t, b, report("a", registration.Ready, 1, 200), registration.Accepted)
+	must.True(t, b.Available(start))
+	apply(t, b, report("a", registration.Draining, 6, 100), registration.Stale)
+}
+
 // A delayed report of the previous instance at the address, which has another
 // name and a higher sequence number, must not replace the current one.
 func TestReportOfPredecessorAtSameAddressIsStale(t *testing.T) {
