The deadline of a request covers the body of its response

Cause: the timer of the deadline was stopped when the response's header had arrived, at the caller's node and at the node beside the backend server. From then on only a caller that read nothing ended the response, and its slot stayed taken.

Evidence: TestBodyWithoutEndIsCutAtTheTimeout and TestRequestsBehindABodyWithoutEndAreNotHeld failed before: the requests lasted 4 s, until their callers left, where 2.5 s are allowed.

Change: the deadline runs until the end of the body. The node beside the backend server cuts there; the caller's node gives the rest of a body 200 ms more, for responses that are on their way between nodes. Counters and logs say deadline_exceeded for such a cut, and a short body that is late is a 504.

Ruled out: a limit on the body's length, since bodies without end can be slow, and a chunked body buffered before its header, since slow streams are passed on at once.

--- a/decide/call/call.go
+++ b/decide/call/call.go
@@ -20,6 +20,11 @@
 // outstanding attempt.
 const DeadlineGrace = 50 * time.Millisecond
 
+// BodyGrace is how long after that the rest of a response may still arrive whose
+// header came in time. The receiving node ends a longer body at the deadline
+// itself, so only a node that has fallen silent is cut off here.
+const BodyGrace = 200 * time.Millisecond
+
 // Request holds the properties of a caller's request that decisions depend on.
 type Request struct {
 	// ID is the node's own identifier of the request, unique among all nodes.
--- a/encoding/hop/body.go
+++ b/encoding/hop/body.go
@@ -101,8 +101,8 @@
 // BufferShortBody buffers a response body that is short, and the start of one
 // that has neither length nor chunks. Such a body ends with its connection, and
 // only its end shows whether the connection was closed or reset; beyond the
-// buffered part it is streamed. BufferShortBody returns
-// verdict.ResponseTruncated if the body breaks off within the buffered part.
+// buffered part it is streamed. BufferShortBody returns the result of BodyFailure
+// if the body breaks off within the buffered part.
 func BufferShortBody(r *http.Response) *verdict.Error {
 	isChunked := r.ContentLength < 0 && isDelimited(r)
 	if r.ContentLength > shortResponseBytes || len(r.Trailer) > 0 || isChunked {
@@ -110,7 +110,7 @@
 	}
 	data, err := io.ReadAll(io.LimitReader(r.Body, shortResponseBytes+1))
 	if err != nil {
-		return verdict.New(verdict.MayHaveRun, verdict.ResponseTruncated, err)
+		return verdict.New(verdict.MayHaveRun, BodyFailure(r), err)
 	}
 	if len(data) > shortResponseBytes {
 		r.Body = &prefixedBody{Reader: io.MultiReader(bytes.NewReader(data), r.Body), Closer: r.Body}
--- a/encoding/hop/transport.go
+++ b/encoding/hop/transport.go
@@ -165,15 +165,35 @@
 	return verdict.New(v, verdict.TransportFailed, err)
 }
 
-// WithHeaderDeadline returns a context that ends after timeout unless stop is
-// called before. The deadline is for the response headers: the caller calls stop
-// when they have arrived, and the body can take longer. cancel ends the context
-// at once.
-func WithHeaderDeadline(ctx context.Context, timeout time.Duration) (_ context.Context, stop func() bool, cancel func()) {
+// WithDeadline returns a context that ends after timeout, with the cause
+// context.DeadlineExceeded. It covers the response up to the end of its body.
+// extend moves the deadline by a duration, unless it has passed; cancel ends the
+// context at once.
+func WithDeadline(ctx context.Context, timeout time.Duration) (_ context.Context, extend func(time.Duration), cancel func()) {
 	ctx, cancelCause := context.WithCancelCause(ctx)
+	deadline := time.Now().Add(timeout)
 	timer := time.AfterFunc(timeout, func() { cancelCause(context.DeadlineExceeded) })
-	return ctx, timer.Stop, func() {
+	extend = func(d time.Duration) {
+		if timer.Stop() {
+			timer.Reset(time.Until(deadline.Add(d)))
+		}
+	}
+	return ctx, extend, func() {
 		timer.Stop()
 		cancelCause(context.Canceled)
 	}
 }
+
+// BodyFailure returns why the body of a response could not be read to its end.
+func BodyFailure(r *http.Response) verdict.Reason {
+	if r.Request == nil {
+		return verdict.ResponseTruncated
+	}
+	switch ctx := r.Request.Context(); {
+	case eris.Is(context.Cause(ctx), context.DeadlineExceeded):
+		return verdict.DeadlineExceeded
+	case ctx.Err() != nil:
+		return verdict.CallerCanceled
+	}
+	return verdict.ResponseTruncated
+}
--- a/encoding/hop/transport_test.go
+++ b/encoding/hop/transport_test.go
@@ -123,7 +123,7 @@
 		first <- failure
 	}()
 	<-arrived
-	waiting, _, cancelWaiting := hop.WithHeaderDeadline(t.Context(), time.Millisecond)
+	waiting, _, cancelWaiting := hop.WithDeadline(t.Context(), time.Millisecond)
 	defer cancelWaiting()
 	_, failure = hop.Send(transport, newPost(t, l.Addr().String(), http.NoBody).WithContext(waiting))
 	must.Eq(t, verdict.NotRun, failure.Verdict)
--- a/front/caller/attempt.go
+++ b/front/caller/attempt.go
@@ -55,7 +55,7 @@
 func (h *Handler) sendAttempt(x *exchange, c call.Call, attempt int) bool {
 	sentAt := h.Clock.Now()
 	timeout := c.Deadline.Sub(sentAt) + call.DeadlineGrace
-	ctx, stopTimer, cancel := hop.WithHeaderDeadline(x.request.Context(), timeout)
+	ctx, extend, cancel := hop.WithDeadline(x.request.Context(), timeout)
 	if !x.addCancel(attempt, cancel) {
 		cancel()
 		return false
@@ -72,8 +72,8 @@
 	}
 	if failure == nil {
 		response, metadata, failure = h.forward(request.WithContext(ctx))
+		extend(call.BodyGrace)
 	}
-	stopTimer()
 	outcome := call.Outcome{
 		Verdict: verdict.Ran, Latency: h.Clock.Now().Sub(sentAt),
 		Load: metadata.Load, RetryAfter: metadata.RetryAfter, RetriesExhausted: metadata.RetriesExhausted,
--- a/front/caller/handler.go
+++ b/front/caller/handler.go
@@ -212,8 +212,8 @@
 }
 
 // writeResponse streams the backend server's response to the caller. If the
-// response is truncated, it aborts the caller's connection, so that the caller
-// cannot take the response for complete.
+// response is truncated or outlasts its deadline, it aborts the caller's
+// connection, so that the caller cannot take the response for complete.
 func (h *Handler) writeResponse(w http.ResponseWriter, x *exchange, response *http.Response) {
 	defer response.Body.Close()
 	h.Record.Answered(x.call, response.StatusCode, h.Clock.Now())
@@ -225,8 +225,9 @@
 	}
 	w.WriteHeader(response.StatusCode)
 	if err := hop.CopyResponse(w, response, h.IdleTimeout); err != nil {
-		h.Count(EventTruncated, verdict.ResponseTruncated)
-		h.Record.Ended(x.call, verdict.ResponseTruncated, h.Clock.Now())
+		reason := hop.BodyFailure(response)
+		h.Count(EventTruncated, reason)
+		h.Record.Ended(x.call, reason, h.Clock.Now())
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/front/peer/handler.go
+++ b/front/peer/handler.go
@@ -82,7 +82,7 @@
 	}
 	result := &requestResult{id: request.AttemptID}
 	defer h.finishAdmission(result)
-	ctx, stopTimer, cancel := hop.WithHeaderDeadline(r.Context(), request.Timeout)
+	ctx, _, cancel := hop.WithDeadline(r.Context(), request.Timeout)
 	defer cancel()
 	row, err := h.awaitAdmission(ctx, request.AttemptID)
 	if err != nil {
@@ -95,7 +95,6 @@
 		return
 	}
 	response, failure := h.sendToBackend(ctx, w, r, request, row.Deadline)
-	stopTimer()
 	if failure != nil {
 		result.shed = failure.Reason == verdict.BackendShed
 		result.failed = failure.Reason == verdict.TransportFailed || failure.Reason == verdict.ResponseTruncated
@@ -247,15 +246,15 @@
 }
 
 // writeResponse streams the backend server's response to the peer. If the
-// response is truncated, it aborts the connection, so that the peer cannot take
-// the response for complete.
+// response is truncated or outlasts its deadline, it aborts the connection, so
+// that the peer cannot take the response for complete.
 func (h *Handler) writeResponse(w http.ResponseWriter, result *requestResult, response *http.Response) {
 	hop.CopyHeaders(w.Header(), response.Header)
 	metadata := hop.ResponseInfo{Verdict: verdict.Ran, Load: h.load(), RetriesExhausted: hop.RetriesExhausted(response.Header)}
 	metadata.Write(w.Header())
 	w.WriteHeader(response.StatusCode)
 	if err := hop.CopyResponse(w, response, h.IdleTimeout); err != nil {
-		h.Count(verdict.ResponseTruncated)
+		h.Count(hop.BodyFailure(response))
 		panic(http.ErrAbortHandler)
 	}
 	result.complete = true
