A request whose caller has left while it waited does not run

Cause: a node does not see the end of a connection while a request's body is unread. The node beside the backend server read the body only after admission, and net/http watches a connection only from the end of the body on.

Evidence: TestRequestWhoseCallerLeftWhileItWaitedIsNotSent failed for a body with a length, in chunks, and for both sent on admission (1 request sent where 0 are allowed). On a related path TestDisconnectBehindUnreadBytesCancelsRequests failed: at the caller's connection, behind a body over 64 KiB and behind requests beyond the 16 that run at once. Ruled out: that the caller's node does not see the close of a short booking; it cancels the attempt at once.

Change: a body that comes at once is read before the request waits for admission; of one sent on admission the first bytes are read before the request is sent on. While a caller's connection is not read, the node checks five times a second whether the caller has closed it, without consuming bytes.

--- a/front/peer/handler.go
+++ b/front/peer/handler.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -74,6 +73,11 @@
 		h.writeRefusal(w, verdict.New(verdict.NotRun, verdict.WrongHost, nil), 0)
 		return
 	}
+	body, failure := newRequestBody(w, r, min(h.IdleTimeout, request.Timeout))
+	if failure != nil {
+		h.writeRefusal(w, failure, 0)
+		return
+	}
 	if !h.addAdmission(request) {
 		// A duplicate of an attempt that this node already serves. Only a bug causes
 		// one.
@@ -94,7 +98,11 @@
 		h.writeRefusal(w, verdict.New(verdict.NotRun, row.Reason, nil), row.RetryAfter)
 		return
 	}
-	response, failure := h.sendToBackend(ctx, w, r, request, row.Deadline)
+	if failure := body.awaitFirstBytes(ctx, w); failure != nil {
+		h.recordAndRefuse(w, request, row, failure)
+		return
+	}
+	response, failure := h.sendToBackend(ctx, r, body, request, row.Deadline)
 	if failure != nil {
 		result.shed = failure.Reason == verdict.BackendShed
 		result.failed = failure.Reason == verdict.TransportFailed || failure.Reason == verdict.ResponseTruncated
@@ -171,7 +179,10 @@
 
 // sendToBackend sends the request to the backend server and returns the response,
 // whose body is buffered whole if it is short.
-func (h *Handler) sendToBackend(ctx context.Context, w http.ResponseWriter, r *http.Request, forwarded hop.Request, deadline time.Time) (*http.Response, *verdict.Error) {
+func (h *Handler) sendToBackend(ctx context.Context, r *http.Request, body *requestBody, forwarded hop.Request, deadline time.Time) (*http.Response, *verdict.Error) {
+	if ctx.Err() != nil {
+		return nil, verdict.New(verdict.NotRun, verdict.CallerCanceled, context.Cause(ctx))
+	}
 	if !h.Clock.Now().Before(deadline) {
 		// The process was held up after the request got its slot. The caller has
 		// given up by now, and may have repeated the request.
@@ -181,7 +192,7 @@
 	if h.Instance != nil {
 		instance = h.Instance()
 	}
-	request, failure := h.newBackendRequest(ctx, w, r, hop.BackendRequest{
+	request, failure := h.newBackendRequest(ctx, r, body, hop.BackendRequest{
 		Timeout:  max(deadline.Sub(h.Clock.Now()), time.Millisecond),
 		Instance: instance,
 		Origin:   forwarded.Origin,
@@ -199,7 +210,7 @@
 	return response, failure
 }
 
-func (h *Handler) newBackendRequest(ctx context.Context, w http.ResponseWriter, r *http.Request, metadata hop.BackendRequest) (*http.Request, *verdict.Error) {
+func (h *Handler) newBackendRequest(ctx context.Context, r *http.Request, body *requestBody, metadata hop.BackendRequest) (*http.Request, *verdict.Error) {
 	address := *r.URL
 	address.Scheme = "http"
 	address.Host = h.BackendAddress
@@ -211,7 +222,7 @@
 	request.Header.Del("Expect")
 	h.Dialect.WriteBackendRequest(request.Header, metadata)
 	request.Host = r.Host
-	request.Body = hop.NonReplayableBody{ReadCloser: io.NopCloser(hop.NewIdleTimeoutBody(w, r, h.IdleTimeout))}
+	request.Body = hop.NonReplayableBody{ReadCloser: body.reader()}
 	request.ContentLength = r.ContentLength
 	request.Trailer = hop.ForwardedTrailers(r)
 	return request, nil
--- a/front/peer/handler_test.go
+++ b/front/peer/handler_test.go
@@ -1,8 +1,13 @@
 package peer_test
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -64,3 +69,91 @@
 		must.Eq(t, verdict.DeadlineExceeded, info.Reason)
 	}
 }
+
+// Guards against a request that runs after its caller has left. The close arrives
+// behind a body that is read only after admission, or in place of a body that is
+// sent only then, so the server does not see it while the request waits.
+func TestRequestWhoseCallerLeftWhileItWaitedIsNotSent(t *testing.T) {
+	body := strings.Repeat("b", 300)
+	for name, c := range map[string]struct {
+		head, body string
+		leaves     bool
+		want       int64
+	}{
+		"stays":                    {"Content-Length: 300\r\n", body, false, 1},
+		"stays, in chunks":         {"Transfer-Encoding: chunked\r\n", "12c\r\n" + body + "\r\n0\r\n\r\n", false, 1},
+		"with a length":            {"Content-Length: 300\r\n", body, true, 0},
+		"in chunks":                {"Transfer-Encoding: chunked\r\n", "12c\r\n" + body + "\r\n0\r\n\r\n", true, 0},
+		"body sent on admission":   {"Content-Length: 20000\r\nExpect: 100-continue\r\n", "", true, 0},
+		"chunks sent on admission": {"Transfer-Encoding: chunked\r\nExpect: 100-continue\r\n", "", true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHeldHandler()
+			server := httptest.NewServer(h)
+			defer server.Close()
+			conn, err := net.Dial("tcp", server.Listener.Addr().String())
+			must.NoError(t, err)
+			defer conn.Close()
+			header := http.Header{}
+			hop.Request{AttemptID: "a.0", Target: "h", Service: "desk", Class: mesh.Booking, Timeout: 5 * time.Second}.Write(header)
+			var text strings.Builder
+			must.NoError(t, header.Write(&text))
+			_, err = io.WriteString(conn, "POST /book HTTP/1.1\r\nHost: shop\r\n"+text.String()+c.head+"\r\n"+c.body)
+			must.NoError(t, err)
+			<-h.waiting
+			if c.leaves {
+				must.NoError(t, conn.Close())
+			}
+			time.Sleep(100 * time.Millisecond)
+			h.grant("a.0")
+			<-h.ended
+			must.Eq(t, c.want, h.sent.Load())
+		})
+	}
+}
+
+// heldHandler is a Handler whose admission point is the test.
+type heldHandler struct {
+	peer.Handler
+	waiting chan struct{} // closed when a request waits for admission
+	ended   chan struct{} // closed when the handler has returned
+	sent    atomic.Int64  // requests sent to the backend server
+}
+
+func newHeldHandler() *heldHandler {
+	h := &heldHandler{waiting: make(chan struct{}), ended: make(chan struct{})}
+	h.Handler = peer.Handler{
+		Tables: tables.New(blackboard.New(blackboard.PanicOnNested())), Clock: clock.System{}, Host: "h", Service: "desk",
+		BackendAddress: "10.0.0.1:80", Dialect: hop.DefaultDialect{}, Transport: h, IdleTimeout: 10 * time.Second,
+		Count: func(verdict.Reason) {},
+	}
+	var once sync.Once
+	h.Tables.Admissions.Watch(func(string) { once.Do(func() { close(h.waiting) }) })
+	return h
+}
+
+// ServeHTTP implements http.Handler.
+func (h *heldHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer close(h.ended)
+	h.Handler.ServeHTTP(w, r)
+}
+
+// RoundTrip implements http.RoundTripper as the backend server.
+func (h *heldHandler) RoundTrip(r *http.Request) (*http.Response, error) {
+	h.sent.Add(1)
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return nil, err
+	}
+	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: http.NoBody, Request: r}, nil
+}
+
+// grant grants a request a slot, if it still waits.
+func (h *heldHandler) grant(id string) {
+	t := h.Tables
+	t.Board.Do(func(tx *blackboard.Tx) {
+		if row, found := t.Admissions.Get(tx, id); found && row.State == admit.Waiting {
+			row.State, row.Granted = admit.Granted, row.Arrived
+			t.Admissions.Put(tx, id, row)
+		}
+	}, t.Admissions.Write())
+}
--- a/front/pipeline/conn.go
+++ b/front/pipeline/conn.go
@@ -12,11 +12,17 @@
 	"time"
 
 	"github.com/marigoldshelf/marigoldshelf/encoding/hop"
+	"github.com/marigoldshelf/marigoldshelf/network"
 )
 
 // bufferBytes is the size of a connection's read and write buffers.
 const bufferBytes = 4 << 10
 
+// closeCheckInterval is the time between two checks whether the caller has
+// disconnected, while the connection is not read: the close can be behind bytes
+// that stay unread until a request has ended.
+const closeCheckInterval = 200 * time.Millisecond
+
 // conn is one caller's connection. One goroutine reads requests; each request
 // runs on a goroutine of its own.
 type conn struct {
@@ -77,7 +83,9 @@
 		return false
 	}
 	request.RemoteAddr = c.netConn.RemoteAddr().String()
-	c.slots <- struct{}{}
+	if !c.acquireSlot() {
+		return false
+	}
 	x, ok := c.addRequest(request)
 	if !ok {
 		return false
@@ -87,10 +95,51 @@
 		return true
 	}
 	// The next request begins where this one's body ends.
-	<-x.body.done
+	c.awaitBody(x.body)
 	return x.body.readToEnd
 }
 
+// acquireSlot waits until the request that was read can run. It returns false if
+// the caller disconnects before that.
+func (c *conn) acquireSlot() bool {
+	select {
+	case c.slots <- struct{}{}:
+		return true
+	default:
+	}
+	ticker := time.NewTicker(closeCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case c.slots <- struct{}{}:
+			return true
+		case <-ticker.C:
+			if network.PeerHasClosed(c.netConn) {
+				c.cancel()
+				return false
+			}
+		}
+	}
+}
+
+// awaitBody waits until a request's body was read or its request has ended. It
+// cancels the requests in flight if the caller disconnects before that.
+func (c *conn) awaitBody(b *requestBody) {
+	ticker := time.NewTicker(closeCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-b.done:
+			return
+		case <-ticker.C:
+			if network.PeerHasClosed(c.netConn) {
+				c.cancel()
+				ticker.Stop()
+			}
+		}
+	}
+}
+
 // awaitFirstByte waits for the first byte of a request. It returns false if the
 // connection ends instead. A connection with requests in flight is not idle, but
 // is read from, so that a disconnect of the caller is detected.
--- a/front/pipeline/pipeline_test.go
+++ b/front/pipeline/pipeline_test.go
@@ -225,3 +225,40 @@
 		must.NoError(t, <-done)
 	})
 }
+
+// Guards against requests that run on after their caller has left, because the
+// close is behind bytes that the server does not read yet: a body that waits for
+// admission, or requests beyond those that run at once.
+func TestDisconnectBehindUnreadBytesCancelsRequests(t *testing.T) {
+	for name, sent := range map[string]string{
+		"body":     "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 70000\r\n\r\n" + strings.Repeat("b", 70_000),
+		"requests": strings.Repeat("GET /a HTTP/1.1\r\nHost: h\r\n\r\n", 18),
+	} {
+		t.Run(name, func(t *testing.T) {
+			started, canceled := make(chan struct{}, 18), make(chan struct{}, 18)
+			wait := func(_ http.ResponseWriter, r *http.Request) {
+				started <- struct{}{}
+				<-r.Context().Done()
+				canceled <- struct{}{}
+			}
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			must.NoError(t, err)
+			server := pipeline.New(http.HandlerFunc(wait), func() pipeline.Limits { return pipeline.Limits{IdleTimeout: time.Hour} })
+			go func() { _ = server.Serve(listener) }()
+			conn, err := net.Dial("tcp", listener.Addr().String())
+			must.NoError(t, err)
+			_, err = io.WriteString(conn, sent)
+			must.NoError(t, err)
+			<-started
+			must.NoError(t, conn.Close())
+			select {
+			case <-canceled:
+			case <-time.After(500 * time.Millisecond):
+				t.Error("the requests were not canceled within half a second")
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+			defer cancel()
+			_ = server.Shutdown(ctx) // cancels what is left
+		})
+	}
+}
--- a/network/liveness.go
+++ b/network/liveness.go
@@ -54,3 +54,24 @@
 	})
 	return err == nil && reusable
 }
+
+// PeerHasClosed reports whether the other side has closed a connection, or its
+// sending direction, also if bytes before the close are unread. It consumes
+// nothing. It returns false for a connection that does not expose its socket.
+func PeerHasClosed(c net.Conn) bool {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, pollErr := unix.Poll(fds, 0)
+		closed = pollErr == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return err == nil && closed
+}
