A stopping node answers the requests that it takes late

Callers would see: in a planned stop, bookings that the node had taken late ended without an answer, though they were running (LOST; a report of other operators).

Cause: a stopping node takes requests for 2.5 s and ends 0.3 s before it is killed. A request kept its own deadline, which can be later than that.

Ruled out: that requests are taken until the end of the grace; they are refused from 2.5 s on.

Change: the deadline of a request that arrives during a stop is 0.4 s before the kill at the latest, so the admission point refuses what cannot end by then and the rest is answered. Callers are refused after half of the time to stop where that is less than 5 s (TestShortStopLeavesTimeForRequestsInFlight).

--- a/controllers/calls/calls.go
+++ b/controllers/calls/calls.go
@@ -88,7 +88,7 @@
 	t := r.tables
 	t.Board.Do(func(tx *blackboard.Tx) { result = r.reconcileTx(tx, now, id) },
 		t.Routes.Read(), t.Rejected.Read(), t.Floor.Read(), t.Members.Read(), t.Endpoints.Read(), t.HostStats.Write(), t.InFlight.Write(), t.Services.Write(), t.RouteStates.Write(),
-		t.Calls.Write(), t.Admissions.Read(), t.PendingHedges.Write())
+		t.Calls.Write(), t.Drain.Read(), t.Admissions.Read(), t.PendingHedges.Write())
 	return result
 }
 
@@ -136,6 +136,7 @@
 		Random:         r.config.Random,
 		Pick:           choose.Pick,
 		ResponseMargin: r.config.ResponseMargin,
+		AnswersDue:     r.tables.Drain.Get(tx).AnswersDue(),
 		RetryPolicy:    r.config.RetryBudget().perNode(r.tables.Members.Len(tx)),
 		Candidates:     func(s mesh.ServiceName) []choose.Candidate { return r.candidates(tx, s) },
 		Service: func(s mesh.ServiceName) *call.ServiceState {
--- a/decide/call/call.go
+++ b/decide/call/call.go
@@ -177,6 +177,9 @@
 	// or refusal is due, DeadlineGrace included. A caller that gets no reply in
 	// time closes its connection, which ends every other request on it.
 	ResponseMargin time.Duration
+	// AnswersDue is when this node, which is being stopped, answers its last
+	// requests; zero while it is not.
+	AnswersDue time.Time
 	// RetryPolicy limits the retries of each service; the zero value is the
 	// default.
 	RetryPolicy retry.Policy
@@ -208,6 +211,9 @@
 	if replyDue := r.Deadline.Add(-w.ResponseMargin); !r.Deadline.IsZero() && replyDue.Before(c.Deadline) {
 		c.Deadline = replyDue
 	}
+	if !w.AnswersDue.IsZero() && w.AnswersDue.Before(c.Deadline) {
+		c.Deadline = w.AnswersDue
+	}
 	if !now.Before(c.Deadline) {
 		return c.refuse(verdict.NotRun, verdict.DeadlineExceeded)
 	}
--- a/decide/drain/drain.go
+++ b/decide/drain/drain.go
@@ -13,6 +13,8 @@
 	// accepts callers' requests: two readiness checks, one second apart, send
 	// new callers elsewhere, and half a second lets the second check arrive.
 	callersGrace = 2500 * time.Millisecond
+	// answerMargin is how long before it ends a node answers its last requests.
+	answerMargin = 100 * time.Millisecond
 	// killMargin is how long before its kill time a node ends by itself, so
 	// that its connections are closed and not left open.
 	killMargin = 300 * time.Millisecond
@@ -68,7 +70,20 @@
 // to end; one that will not be killed accepts all and ends when none is in
 // flight.
 func (s State) RefusesCallers(now time.Time) bool {
-	return s.Stopping && !s.KillAt.IsZero() && now.Sub(s.Since) >= callersGrace
+	return s.Stopping && !s.KillAt.IsZero() && now.Sub(s.Since) >= s.callersGrace()
+}
+
+// callersGrace returns how long a stopping node that will be killed accepts
+// callers' requests. At least half of its time is left for them to end.
+func (s State) callersGrace() time.Duration { return min(callersGrace, s.KillAt.Sub(s.Since)/2) }
+
+// AnswersDue returns when the node answers the requests that it has accepted since
+// the stop began, at the latest; zero for no limit.
+func (s State) AnswersDue() time.Time {
+	if s.KillAt.IsZero() {
+		return time.Time{}
+	}
+	return s.KillAt.Add(-killMargin - answerMargin)
 }
 
 // TimeToExit returns how long a node that will be killed can take to end; false
@@ -102,7 +117,7 @@
 	}
 	grace := LeaveGrace
 	if !s.KillAt.IsZero() {
-		grace = callersGrace // new requests can arrive until callers are refused
+		grace = s.callersGrace() // new requests can arrive until callers are refused
 	}
 	if waited < grace {
 		return s, min(grace-waited, checkInterval)
--- a/decide/drain/drain_test.go
+++ b/decide/drain/drain_test.go
@@ -60,3 +60,17 @@
 	s, _ = drain.State{}.Stop(start).WithKillAfter(within).Advance(start.Add(drain.LeaveGrace), drain.InFlight{}, limit)
 	must.False(t, s.Done, must.Sprint("callers are not refused yet, so their requests would be aborted"))
 }
+
+// A node that has little time to stop must leave some of it for the requests that it
+// has accepted, and answer them before it ends.
+func TestShortStopLeavesTimeForRequestsInFlight(t *testing.T) {
+	const within = 2 * time.Second
+	s := drain.State{}.Stop(start).WithKillAfter(within)
+	must.True(t, s.RefusesCallers(start.Add(within/2)))
+	must.True(t, s.AnswersDue().Before(start.Add(within)))
+	done, _ := s.Advance(s.AnswersDue(), drain.InFlight{Calls: 1}, limit)
+	must.False(t, done.Done, must.Sprint("the last answers are written before the node ends"))
+	done, _ = s.Advance(start.Add(within), drain.InFlight{Calls: 1}, limit)
+	must.True(t, done.Done)
+	must.True(t, drain.State{}.Stop(start).AnswersDue().IsZero())
+}
