Late reports after a restart do not confirm each other

Cause: the first report to a new process waits for a health check, but a second one was taken as its confirmation. Both can be late ones from before the departure.

Change: reports are confirmed by a good health check, or by one that arrives over 10 s after the start of the process.

--- a/controllers/registration/registration.go
+++ b/controllers/registration/registration.go
@@ -62,7 +62,11 @@
 // drain of a stopping node alone.
 func (r reconciler) reconcileTx(tx *blackboard.Tx, now time.Time) controller.Result {
 	before := r.Backend.Backend.Get(tx)
-	b := r.applyObservations(tx, now, r.applyReports(tx, now, r.applyChecks(tx, before)))
+	b := before
+	if b.ReceivingSince.IsZero() {
+		b.ReceivingSince = now
+	}
+	b = r.applyObservations(tx, now, r.applyReports(tx, now, r.applyChecks(tx, b)))
 	if b.Unverified && b.Sequence != before.Sequence {
 		r.BackendChecks.Put(tx, b.Instance, tables.BackendCheck{Sequence: b.Sequence})
 	}
--- a/decide/registration/registration.go
+++ b/decide/registration/registration.go
@@ -74,11 +74,13 @@
 	// DownUntil is the end of the backoff after a failed connection; until then
 	// the backend server gets no requests.
 	DownUntil time.Time
-	// Unverified is true after the first report of a process that started later
-	// than the backend server, until the backend server confirms it. The report
-	// can be a late one from before a departure that the node's predecessor
-	// acknowledged; this process does not know of that.
+	// Unverified is true after the first reports of a backend server that started
+	// before this process, until a health check or time confirms them. They can be
+	// late ones from before a departure that the node's predecessor acknowledged;
+	// this process does not know of that.
 	Unverified bool
+	// ReceivingSince is when this process began to receive reports.
+	ReceivingSince time.Time
 	// Tombstone is an instance that reported itself gone while this process did
 	// not know it as the current instance. Its earlier reports can still
 	// arrive.
@@ -99,6 +101,10 @@
 // reports are lost.
 const maxStartSequence = 2
 
+// maxReportDelay is how late a report can arrive. A report that arrives longer than
+// this after the start of the process was sent after the start.
+const maxReportDelay = 10 * time.Second
+
 // ReportOutcome is the outcome of a report.
 type ReportOutcome uint8
 
@@ -155,13 +161,13 @@
 	if late || !b.isNewer(r) {
 		return b, Stale
 	}
-	unverified := b.startsUnverified(r)
+	unverified := b.isUnverified(now, r)
 	if b.isSameStart(r) {
 		r.Sequence = max(r.Sequence, b.Sequence)
 	}
 	return Backend{
 		Report: r, LastReportAt: now, WarmupUntil: now.Add(r.WarmupRemaining), Tombstone: tombstone,
-		Unverified: unverified,
+		Unverified: unverified, ReceivingSince: b.ReceivingSince,
 	}, Accepted
 }
 
@@ -171,15 +177,17 @@
 	return b.Phase != Unknown && r.Instance == b.Instance && r.StartedAtMillis == b.StartedAtMillis
 }
 
-// startsUnverified reports whether an accepted report can be a late one from
-// before a departure that this process does not know of. A report under the name
-// in Tombstone is from a later start, or it would not have been accepted.
-func (b Backend) startsUnverified(r Report) bool {
-	return b.Phase == Unknown && r.Phase == Ready && r.Sequence > maxStartSequence && r.Instance != b.Tombstone.Instance
+// isUnverified reports whether an accepted report can be a late one from before a
+// departure that this process does not know of. Several late reports can arrive, so
+// one does not confirm another. A report under the name in Tombstone is from a later
+// start, or it would not have been accepted.
+func (b Backend) isUnverified(now time.Time, r Report) bool {
+	canBeLate := now.Before(b.ReceivingSince.Add(maxReportDelay)) && r.Sequence > maxStartSequence
+	return (b.Phase == Unknown || b.Unverified) && r.Phase == Ready && canBeLate && r.Instance != b.Tombstone.Instance
 }
 
 // WithHealthCheck returns the state after a health check of the instance: a good
-// one confirms the report. A bad one leaves it to the next report.
+// one confirms the reports. After a bad one they stay unverified.
 func (b Backend) WithHealthCheck(instance string, healthy bool) Backend {
 	if instance == b.Instance && healthy {
 		b.Unverified = false
--- a/decide/registration/registration_test.go
+++ b/decide/registration/registration_test.go
@@ -81,6 +81,25 @@
 	apply(t, b, report("a", registration.Draining, 6, 100), registration.Stale)
 }
 
+// After a restart of the node, several late reports of a departed backend server can
+// arrive. They must not confirm each other; a health check does, and so does a report
+// that is too late to have been sent before the restart.
+func TestLateReportsAfterARestartAreUnverified(t *testing.T) {
+	restarted := registration.Backend{ReceivingSince: start.Add(-time.Second)}
+	b := apply(t, restarted, report("a", registration.Ready, 7, 100), registration.Accepted)
+	b = apply(t, b, report("a", registration.Ready, 8, 100), registration.Accepted)
+	must.False(t, b.Available(start))
+	b = b.WithHealthCheck("a", false)
+	b = apply(t, b, report("a", registration.Ready, 9, 100), registration.Accepted)
+	must.False(t, b.Available(start))
+	must.True(t, b.WithHealthCheck("a", true).Available(start))
+	later := start.Add(10 * time.Second)
+	b, _ = registration.Apply(later, b, report("a", registration.Ready, 16, 100), own)
+	must.True(t, b.Available(later))
+	b = apply(t, restarted, report("a", registration.Ready, 1, 100), registration.Accepted)
+	must.True(t, b.Available(start), must.Sprint("the first report of a new start is confirmed by its number"))
+}
+
 // A delayed report of the previous instance at the address, which has another
 // name and a higher sequence number, must not replace the current one.
 func TestReportOfPredecessorAtSameAddressIsStale(t *testing.T) {
