Routes are chosen by the path as received

Cause: the decoded path was compared with prefixes that are not decoded.

Change: routing reads the path with its escapes. Approved prefixes are compared byte for byte; the product's own rules decode all escapes but those of slashes.

--- a/decide/call/call.go
+++ b/decide/call/call.go
@@ -30,8 +30,9 @@
 	// ID is the node's own identifier of the request, unique among all nodes.
 	ID       string
 	HostName string
-	Path     string
-	Arrived  time.Time
+	// Path is the path as received, with its escapes.
+	Path    string
+	Arrived time.Time
 	// Deadline is the deadline that the caller set; zero for none.
 	Deadline time.Time
 	// BodyBuffered is true when the complete body is buffered, so that the
--- a/decide/route/approved_test.go
+++ b/decide/route/approved_test.go
@@ -19,7 +19,7 @@
 // them on the normalized path would send /a/b or /a//b/ to another route.
 func TestApprovedPrefixesMatchByteForByte(t *testing.T) {
 	table, faults := route.CompileApproved(mesh.ApprovedConfig{Version: 9, Routes: []mesh.Route{
-		approvedRoute("short", "/a/"), approvedRoute("long", "/a/b/"),
+		approvedRoute("short", "/a/"), approvedRoute("long", "/a/b/"), approvedRoute("escaped", "/caf%C3%A9/"),
 	}})
 	must.SliceEmpty(t, faults)
 	must.Eq(t, 9, table.Version)
@@ -27,6 +27,7 @@
 	for path, want := range map[string]string{
 		"/a/": "short", "/a/x": "short", "/a/b": "short", "/a/b/": "long", "/a/b/c/d": "long", "/a//b/": "short",
 		"/a": "", "/": "", "": "", "/b/a/": "", "//a/": "",
+		"/a/b%2Fc": "short", "/a%2Fb/": "", "/caf%C3%A9/x": "escaped", "/caf%c3%a9/x": "", "/café/x": "",
 	} {
 		found, ok := table.Match("shop.example:8080", path)
 		must.Eq(t, want != "", ok, must.Sprint(path))
--- a/decide/route/normalize.go
+++ b/decide/route/normalize.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"net/url"
 	"path"
 	"strings"
 )
@@ -26,6 +27,21 @@
 	return path.Clean(p)
 }
 
+// unescapeSegments decodes the escapes of a path, except those of slashes: an
+// escaped slash is data of its segment and separates none. A path with an invalid
+// escape is returned as it is.
+func unescapeSegments(p string) string {
+	if !strings.Contains(p, "%") {
+		return p
+	}
+	kept := strings.NewReplacer("%2F", "%252F", "%2f", "%252F").Replace(p)
+	decoded, err := url.PathUnescape(kept)
+	if err != nil {
+		return p
+	}
+	return decoded
+}
+
 // parentPath returns a normalized path without its last segment.
 func parentPath(normalized string) string {
 	lastSlash := strings.LastIndexByte(normalized, '/')
--- a/decide/route/route.go
+++ b/decide/route/route.go
@@ -76,16 +76,17 @@
 }
 
 // Match returns the route with the longest path prefix for a host name, with or
-// without a port, and whether one was found. The prefix of a rule matches whole
-// path segments: /a matches /a and /a/b, not /ab. The path is normalized first,
-// so that /status/../book matches as /book. The prefixes of approved
-// configuration are compared byte for byte with the path as received.
+// without a port, and whether one was found. path is the path as received, with
+// its escapes. The prefix of a rule matches whole path segments: /a matches /a and
+// /a/b, not /ab or /a%2Fb. The path is normalized first, so that /status/../book
+// matches as /book. The prefixes of approved configuration are compared byte for
+// byte with the path as received.
 func (t *Table) Match(hostName, path string) (mesh.Route, bool) {
 	name := normalizeHostName(stripPort(hostName))
 	if t.literal != nil {
 		return t.literal[name].longestPrefix(path)
 	}
-	rule, found := t.byHost[name].longestPrefix(normalizePath(path))
+	rule, found := t.byHost[name].longestPrefix(normalizePath(unescapeSegments(path)))
 	return mesh.RouteOf(rule), found
 }
 
--- a/decide/route/route_test.go
+++ b/decide/route/route_test.go
@@ -77,6 +77,7 @@
 	for path, want := range map[string]string{
 		"/": "root", "": "root", "/booking": "root", "/book": "book", "/book/": "book", "/book/7": "book",
 		"/book/cup": "cup", "/book//cup/1": "cup", "/book/cupboard": "book", "/status/../book": "book",
+		"/book/%63up": "cup", "/book%2Fcup": "root", "/book/x%2f..%2fcup": "book", "/status/%2e%2e/book": "book",
 	} {
 		found, ok := table.Match("DESK.example.:8080", path)
 		must.True(t, ok)
--- a/encoding/hop/forward.go
+++ b/encoding/hop/forward.go
@@ -31,6 +31,15 @@
 	}
 }
 
+// ReceivedPath returns the path of a request as it was received, with its escapes.
+// The decoded path does not tell an escaped slash from one that separates segments.
+func ReceivedPath(r *http.Request) string {
+	if r.URL.RawPath != "" {
+		return r.URL.RawPath
+	}
+	return r.URL.EscapedPath()
+}
+
 // NonReplayableBody is a request body that http.Transport does not replay. The
 // transport resends a request when a reused connection breaks and the request
 // counts as idempotent, by its method or an Idempotency-Key header, unless it
--- a/front/caller/handler.go
+++ b/front/caller/handler.go
@@ -155,7 +155,7 @@
 		return nil, failure
 	}
 	request := call.Request{
-		ID: h.idPrefix + strconv.FormatUint(h.requestCount.Add(1), 36), HostName: r.Host, Path: r.URL.Path,
+		ID: h.idPrefix + strconv.FormatUint(h.requestCount.Add(1), 36), HostName: r.Host, Path: hop.ReceivedPath(r),
 		Arrived: now, BodyBuffered: b.complete, LargeBody: b.isLarge(), CallerID: callerRequest.ID,
 	}
 	if callerRequest.Timeout > 0 {
--- a/front/keyed/keyed.go
+++ b/front/keyed/keyed.go
@@ -85,7 +85,7 @@
 	if r.Header.Get(headerKey) == "" || routes == nil {
 		return mesh.Rule{}, false
 	}
-	matched, found := routes.Match(r.Host, r.URL.Path)
+	matched, found := routes.Match(r.Host, hop.ReceivedPath(r))
 	return matched.Rule, found && idempotency.SupportsClass(matched.Class)
 }
 
