The time to read a body counts against the deadline, and its end has its own reason

Cause, found in reading the change: the node beside the backend server starts the deadline of a request after it has read the body, so a body that is held up between the nodes would extend it; and a request that ended at its deadline while its body was awaited was counted as slow_sender or caller_canceled. Change: what the reading took is taken from the time left, and deadline_exceeded is told from a caller that has left in one place (hop.CancelReason).

--- a/decide/call/call.go
+++ b/decide/call/call.go
@@ -20,9 +20,10 @@
 // outstanding attempt.
 const DeadlineGrace = 50 * time.Millisecond
 
-// BodyGrace is how long after that the rest of a response may still arrive whose
-// header came in time. The receiving node ends a longer body at the deadline
-// itself, so only a node that has fallen silent is cut off here.
+// BodyGrace is how long after the deadline and DeadlineGrace the rest of a response
+// may still arrive, if its header came in time. The node that sends it ends a body
+// without end at the deadline itself, so only a node that has fallen silent is cut
+// off here.
 const BodyGrace = 200 * time.Millisecond
 
 // Request holds the properties of a caller's request that decisions depend on.
--- a/encoding/hop/transport.go
+++ b/encoding/hop/transport.go
@@ -153,10 +153,8 @@
 		v = verdict.MayHaveRun
 	}
 	switch {
-	case eris.Is(context.Cause(ctx), context.DeadlineExceeded):
-		return verdict.New(v, verdict.DeadlineExceeded, err)
 	case ctx.Err() != nil:
-		return verdict.New(v, verdict.CallerCanceled, err)
+		return verdict.New(v, CancelReason(ctx), err)
 	case eris.Is(err, ErrSlowSender):
 		return verdict.New(v, verdict.SlowSender, err)
 	case !connected:
@@ -189,11 +187,16 @@
 	if r.Request == nil {
 		return verdict.ResponseTruncated
 	}
-	switch ctx := r.Request.Context(); {
-	case eris.Is(context.Cause(ctx), context.DeadlineExceeded):
-		return verdict.DeadlineExceeded
-	case ctx.Err() != nil:
-		return verdict.CallerCanceled
+	if ctx := r.Request.Context(); ctx.Err() != nil {
+		return CancelReason(ctx)
 	}
 	return verdict.ResponseTruncated
 }
+
+// CancelReason returns why the context of a request has ended.
+func CancelReason(ctx context.Context) verdict.Reason {
+	if eris.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return verdict.DeadlineExceeded
+	}
+	return verdict.CallerCanceled
+}
--- a/front/peer/body.go
+++ b/front/peer/body.go
@@ -59,9 +59,12 @@
 	buffer := make([]byte, firstReadBytes)
 	n, err := b.rest.Read(buffer)
 	b.head = buffer[:n]
-	if err == io.EOF {
+	switch {
+	case err == io.EOF:
 		b.rest = nil
 		return nil
+	case err != nil && ctx.Err() != nil:
+		return verdict.New(verdict.NotRun, hop.CancelReason(ctx), err)
 	}
 	return readFailure(err)
 }
--- a/front/peer/handler.go
+++ b/front/peer/handler.go
@@ -73,7 +73,12 @@
 		h.writeRefusal(w, verdict.New(verdict.NotRun, verdict.WrongHost, nil), 0)
 		return
 	}
+	arrived := h.Clock.Now()
 	body, failure := newRequestBody(w, r, min(h.IdleTimeout, request.Timeout))
+	request.Timeout -= h.Clock.Now().Sub(arrived)
+	if failure == nil && request.Timeout <= 0 {
+		failure = verdict.New(verdict.NotRun, verdict.DeadlineExceeded, nil)
+	}
 	if failure != nil {
 		h.writeRefusal(w, failure, 0)
 		return
@@ -181,7 +186,7 @@
 // whose body is buffered whole if it is short.
 func (h *Handler) sendToBackend(ctx context.Context, r *http.Request, body *requestBody, forwarded hop.Request, deadline time.Time) (*http.Response, *verdict.Error) {
 	if ctx.Err() != nil {
-		return nil, verdict.New(verdict.NotRun, verdict.CallerCanceled, context.Cause(ctx))
+		return nil, verdict.New(verdict.NotRun, hop.CancelReason(ctx), context.Cause(ctx))
 	}
 	if !h.Clock.Now().Before(deadline) {
 		// The process was held up after the request got its slot. The caller has
