--- a/decide/admit/admit.go
+++ b/decide/admit/admit.go
@@ -40,6 +40,10 @@
 type Request struct {
 	ID    string
 	Class mesh.Class
+	// Account is the client account of the request; empty for none.
+	// AccountPriority, of which 0 is the highest, goes before Priority.
+	Account         mesh.AccountName
+	AccountPriority int
 	// Priority is the priority of the request's route; 0 is the highest.
 	// Without Limits.PriorityOnly, the class orders requests of equal priority.
 	Priority int
@@ -181,7 +185,7 @@
 // compareByObjective orders requests by priority, then requests that can still
 // meet their objective before the others, then by deadline, arrival and ID.
 func (d *decision) compareByObjective(a, b Request) int {
-	if order := cmp.Compare(a.Priority, b.Priority); order != 0 {
+	if order := cmp.Or(cmp.Compare(a.AccountPriority, b.AccountPriority), cmp.Compare(a.Priority, b.Priority)); order != 0 {
 		return order
 	}
 	if inTime := d.meetsObjective(a, 0); inTime != d.meetsObjective(b, 0) {
@@ -276,6 +280,7 @@
 // ID.
 func compareByClass(a, b Request) int {
 	return cmp.Or(
+		cmp.Compare(a.AccountPriority, b.AccountPriority),
 		cmp.Compare(a.Priority, b.Priority),
 		cmp.Compare(a.Class.Index(), b.Class.Index()),
 		a.Deadline.Compare(b.Deadline),
--- a/decide/call/call.go
+++ b/decide/call/call.go
@@ -44,6 +44,8 @@
 	LargeBody bool
 	// CallerID is the caller's identifier of the request, for logs.
 	CallerID string
+	// Key is the hash of the account key that the caller sent; zero for none.
+	Key mesh.KeyHash
 }
 
 // StepKind is the kind of instruction to the HTTP handler.
@@ -121,6 +123,13 @@
 	Rule mesh.Rule
 	// Version is the configuration version that the request was routed by.
 	Version mesh.Version
+	// Account is the client account of the request; empty for none. Its priority
+	// goes before the route's.
+	Account         mesh.AccountName
+	AccountPriority int
+	// RemovesAccount is true if the configuration has client accounts, so that
+	// what a caller states about its account is not passed on.
+	RemovesAccount bool
 	// Priority and MaxBackendAttempts are the route's.
 	Priority           int
 	MaxBackendAttempts int
@@ -205,6 +214,9 @@
 		return c.refuse(verdict.NotRun, verdict.NoRoute)
 	}
 	c = c.withRoute(matched, w)
+	if known := c.identify(w.Routes); !known && !matched.Public {
+		return c.refuse(verdict.NotRun, verdict.UnknownKey)
+	}
 	if matched.Unreadable != "" {
 		return c.refuse(verdict.NotRun, verdict.RouteUnreadable)
 	}
@@ -230,6 +242,18 @@
 	return c.firstAttempt(now, w)
 }
 
+// identify sets the client account of the request. It returns false if the
+// configuration has accounts and the request has no key of one.
+func (c *Call) identify(routes *route.Table) (known bool) {
+	if !routes.HasAccounts() {
+		return true
+	}
+	c.RemovesAccount = true
+	account, known := routes.AccountOf(c.Request.Key)
+	c.Account, c.AccountPriority = account.Name, account.Priority
+	return known
+}
+
 // withRoute returns the call with the settings of its route and the version in
 // force.
 func (c Call) withRoute(r mesh.Route, w Environment) Call {
--- a/decide/route/approved.go
+++ b/decide/route/approved.go
@@ -31,11 +31,13 @@
 		}
 		index[hostName][r.PathPrefix] = r
 	}
+	accounts := l.indexAccounts(a.Accounts)
 	if len(l.faults) > 0 {
 		return nil, l.faults
 	}
 	return &Table{
 		Version: a.Version, Limits: a.Limits, Connections: a.MaxConnections, HealthPaths: a.HealthPaths, literal: index,
+		accounts: accounts,
 	}, nil
 }
 
--- a/decide/route/route.go
+++ b/decide/route/route.go
@@ -31,6 +31,7 @@
 	// approved configuration sets it.
 	HealthPaths map[mesh.ServiceName]string
 	byHost      Index
+	accounts    accountIndex
 	// literal is nil unless the table is compiled from approved configuration.
 	literal literalIndex
 }
--- a/encoding/hop/dialect.go
+++ b/encoding/hop/dialect.go
@@ -14,6 +14,8 @@
 	ID string
 	// Timeout is how long the caller waits; zero when absent.
 	Timeout time.Duration
+	// Key is the hash of the key of the caller's account; zero when absent.
+	Key mesh.KeyHash
 }
 
 // BackendRequest holds the values of the request headers for a backend server.
@@ -26,6 +28,8 @@
 	// Origin is the service on the host where the request entered the mesh;
 	// empty when unknown.
 	Origin mesh.ServiceName
+	// Account is the client account of the request; empty for none.
+	Account mesh.AccountName
 }
 
 // ResponseClass classifies a response on a connection to a backend server.
@@ -56,6 +60,10 @@
 	// ReadCallerRequest parses a caller's headers. It returns an error if one is
 	// malformed.
 	ReadCallerRequest(http.Header) (CallerRequest, error)
+	// RemoveAccount removes the headers by which a caller states an account: the
+	// key, which backend servers must not see, and an account's name, which only
+	// the nodes set. It is called if the configuration has accounts.
+	RemoveAccount(http.Header)
 	// WriteBackendRequest sets the request headers for a backend server.
 	WriteBackendRequest(http.Header, BackendRequest)
 	// ClassifyResponse classifies a response that was received where the response
@@ -82,6 +90,9 @@
 	return CallerRequest{Timeout: timeout}, err
 }
 
+// RemoveAccount implements Dialect. The nodes' own configuration has no accounts.
+func (DefaultDialect) RemoveAccount(http.Header) {}
+
 // WriteBackendRequest implements Dialect.
 func (DefaultDialect) WriteBackendRequest(h http.Header, r BackendRequest) {
 	WriteTimeout(h, r.Timeout)
--- a/encoding/hop/hop.go
+++ b/encoding/hop/hop.go
@@ -23,17 +23,20 @@
 
 // The nodes' own headers.
 const (
-	headerCall       = prefix + "Call"
-	headerTarget     = prefix + "Target"
-	headerService    = prefix + "Service"
-	headerClass      = prefix + "Class"
-	headerVersion    = prefix + "Version"
-	headerPriority   = prefix + "Priority"
-	headerObjective  = prefix + "Objective-Ms"
-	headerOrigin     = prefix + "Origin"
-	headerCallerID   = prefix + "Caller-Id"
-	headerLoad       = prefix + "Load"
-	headerRetryAfter = prefix + "Retry-After-Ms"
+	headerCall      = prefix + "Call"
+	headerTarget    = prefix + "Target"
+	headerService   = prefix + "Service"
+	headerClass     = prefix + "Class"
+	headerVersion   = prefix + "Version"
+	headerPriority  = prefix + "Priority"
+	headerObjective = prefix + "Objective-Ms"
+	headerOrigin    = prefix + "Origin"
+	headerCallerID  = prefix + "Caller-Id"
+	headerAccount   = prefix + "Account"
+	// headerAccountPriority is absent for priority 0.
+	headerAccountPriority = prefix + "Account-Priority"
+	headerLoad            = prefix + "Load"
+	headerRetryAfter      = prefix + "Retry-After-Ms"
 	// headerRetriesExhausted marks a failure that was already retried by the node
 	// closest to it. It is passed up the call chain to suppress further retries.
 	headerRetriesExhausted = prefix + "Retries-Exhausted"
@@ -69,6 +72,10 @@
 	Origin mesh.ServiceName
 	// CallerID is the caller's ID of the request, for logs; empty when absent.
 	CallerID string
+	// Account is the client account of the request; empty for none. Its priority
+	// goes before Priority.
+	Account         mesh.AccountName
+	AccountPriority int
 }
 
 // IsForwarded reports whether an HTTP request was forwarded by a node.
@@ -94,6 +101,12 @@
 	if r.CallerID != "" {
 		h.Set(headerCallerID, r.CallerID)
 	}
+	if r.Account != "" {
+		h.Set(headerAccount, string(r.Account))
+	}
+	if r.AccountPriority > 0 {
+		h.Set(headerAccountPriority, strconv.Itoa(r.AccountPriority))
+	}
 }
 
 // ReadRequest parses the headers that Write sets. It returns an error if one is
@@ -116,10 +129,14 @@
 		Timeout:   timeout,
 		Origin:    mesh.ServiceName(h.Get(headerOrigin)),
 		CallerID:  h.Get(headerCallerID),
+		Account:   mesh.AccountName(h.Get(headerAccount)),
 	}
 	if r.Priority, err = optionalInt(h, headerPriority); err != nil {
 		return Request{}, err
 	}
+	if r.AccountPriority, err = optionalInt(h, headerAccountPriority); err != nil {
+		return Request{}, err
+	}
 	objective, err := optionalInt(h, headerObjective)
 	if err != nil {
 		return Request{}, err
--- a/front/caller/attempt.go
+++ b/front/caller/attempt.go
@@ -145,6 +145,9 @@
 		return nil, verdict.New(verdict.NotRun, verdict.BadRequest, eris.Wrap(err, "create request to peer node"))
 	}
 	hop.CopyHeaders(request.Header, r.Header)
+	if c.RemovesAccount {
+		h.Dialect.RemoveAccount(request.Header)
+	}
 	request.Host = r.Host
 	request.Body = hop.NonReplayableBody{ReadCloser: x.body.newReader()}
 	request.ContentLength = x.body.size
@@ -165,6 +168,8 @@
 		LatencyObjective: remainingObjective(c, now),
 		Origin:           h.Origin,
 		CallerID:         c.Request.CallerID,
+		Account:          c.Account,
+		AccountPriority:  c.AccountPriority,
 	}.Write(request.Header)
 	return request, nil
 }
--- a/front/caller/handler.go
+++ b/front/caller/handler.go
@@ -157,6 +157,7 @@
 	request := call.Request{
 		ID: h.idPrefix + strconv.FormatUint(h.requestCount.Add(1), 36), HostName: r.Host, Path: hop.ReceivedPath(r),
 		Arrived: now, BodyBuffered: b.complete, LargeBody: b.isLarge(), CallerID: callerRequest.ID,
+		Key: callerRequest.Key,
 	}
 	if callerRequest.Timeout > 0 {
 		request.Deadline = now.Add(callerRequest.Timeout)
--- a/front/peer/handler.go
+++ b/front/peer/handler.go
@@ -148,7 +148,7 @@
 	now := h.Clock.Now()
 	row := admit.Request{
 		ID: r.AttemptID, Class: r.Class, Priority: r.Priority, Arrived: now, Deadline: now.Add(r.Timeout),
-		State: admit.Waiting,
+		State: admit.Waiting, Account: r.Account, AccountPriority: r.AccountPriority,
 	}
 	if r.LatencyObjective > 0 {
 		row.Objective = now.Add(r.LatencyObjective)
@@ -201,6 +201,7 @@
 		Timeout:  max(deadline.Sub(h.Clock.Now()), time.Millisecond),
 		Instance: instance,
 		Origin:   forwarded.Origin,
+		Account:  forwarded.Account,
 	})
 	if failure != nil {
 		return nil, failure
--- a/mesh/route.go
+++ b/mesh/route.go
@@ -30,6 +30,8 @@
 	// route in order. Requests that match an unreadable route are refused:
 	// without it, they would match a shorter prefix and run elsewhere.
 	Unreadable string
+	// Public routes need no account key.
+	Public bool
 }
 
 // RouteOf returns the route of a rule, without the extended settings.
@@ -57,7 +59,10 @@
 	// HealthPaths holds the path of the health check of a service's backend
 	// servers.
 	HealthPaths map[ServiceName]string
-	Limits      CallerLimits
+	// Accounts has the client accounts. If there are any, a request needs the key
+	// of one, unless its route is public.
+	Accounts []Account
+	Limits   CallerLimits
 	// Warnings lists the entries that were read only in part, for logs.
 	Warnings []ConfigWarning
 }
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -53,6 +53,8 @@
 	ConfigurationRejected Reason = "config_rejected"    // the node has no version in force and cannot use the newest one
 	RouteUnreadable       Reason = "route_unreadable"   // the route's entry in the configuration cannot be read
 	NoRoute               Reason = "no_route"           // no rule matches host name and path
+	UnknownKey            Reason = "unknown_key"        // the request has no key of a client account
+	OverQuota             Reason = "over_quota"         // the client account has used up its quota
 	NoBackend             Reason = "no_backend"         // no live backend server for the service
 	Draining              Reason = "draining"           // the backend server or the node is draining
 	QueueFull             Reason = "queue_full"         // the admission queue is at its limit
