--- a/decide/call/call.go
+++ b/decide/call/call.go
@@ -17,9 +17,14 @@
 )
 
 // DeadlineGrace is how long after the deadline the node still waits for an
-// outstanding attempt.
+// outstanding attempt, at most.
 const DeadlineGrace = 50 * time.Millisecond
 
+// marginDivisor limits the response margin to an eighth of the time that the caller
+// waits. The calls of backend servers wait for 200 ms, of which a margin of 100 ms
+// left too little to wait for a slot and to run.
+const marginDivisor = 8
+
 // BodyGrace is how long after the deadline and DeadlineGrace the rest of a response
 // may still arrive, if its header came in time. The node that sends it ends a body
 // without end at the deadline itself, so only a node that has fallen silent is cut
@@ -134,6 +139,8 @@
 	Priority           int
 	MaxBackendAttempts int
 	Deadline           time.Time
+	// Grace is how long after Deadline an outstanding attempt is still awaited.
+	Grace time.Duration
 	// Objective is the time after which the response is worth less to the
 	// caller, counted from the caller's first try; zero when the route sets no
 	// latency objective.
@@ -185,8 +192,8 @@
 	// Pick is the load balancing policy.
 	Pick choose.Policy
 	// ResponseMargin is how long before the caller's own deadline the response
-	// or refusal is due, DeadlineGrace included. A caller that gets no reply in
-	// time closes its connection, which ends every other request on it.
+	// or refusal is due at most, DeadlineGrace included. A caller that gets no
+	// reply in time closes its connection, which ends every other request on it.
 	ResponseMargin time.Duration
 	// AnswersDue is when this node, which is being stopped, answers its last
 	// requests; zero while it is not.
@@ -221,9 +228,13 @@
 		return c.refuse(verdict.NotRun, verdict.RouteUnreadable)
 	}
 	rule := c.Rule
-	c.Deadline = r.Arrived.Add(rule.Deadline())
-	if replyDue := r.Deadline.Add(-w.ResponseMargin); !r.Deadline.IsZero() && replyDue.Before(c.Deadline) {
+	c.Deadline, c.Grace = r.Arrived.Add(rule.Deadline()), DeadlineGrace
+	margin := min(w.ResponseMargin, r.Deadline.Sub(r.Arrived)/marginDivisor)
+	if replyDue := r.Deadline.Add(-margin); !r.Deadline.IsZero() && replyDue.Before(c.Deadline) {
 		c.Deadline = replyDue
+		if w.ResponseMargin > 0 {
+			c.Grace = min(DeadlineGrace, margin/2)
+		}
 	}
 	if !w.AnswersDue.IsZero() && w.AnswersDue.Before(c.Deadline) {
 		c.Deadline = w.AnswersDue
--- a/decide/call/call_test.go
+++ b/decide/call/call_test.go
@@ -193,3 +193,23 @@
 		}
 	}
 }
+
+// Guards against a response margin that takes half of the time of a caller with a
+// short deadline, as the calls of backend servers have: they then failed while they
+// could still be served, and with them the requests that they were made for.
+func TestResponseMarginLeavesShortDeadlinesMostOfTheirTime(t *testing.T) {
+	f := newFixture(t, mesh.Lookup)
+	f.environment.ResponseMargin = 100 * time.Millisecond
+	for _, c := range []struct{ deadline, usable, grace time.Duration }{
+		{200 * time.Millisecond, 175 * time.Millisecond, 12500 * time.Microsecond},
+		{600 * time.Millisecond, 525 * time.Millisecond, 37500 * time.Microsecond},
+		{900 * time.Millisecond, 800 * time.Millisecond, 50 * time.Millisecond},
+		{5 * time.Second, time.Second, 50 * time.Millisecond}, // the route's deadline is earlier
+	} {
+		got := call.Begin(start, call.Request{
+			ID: "1", HostName: "h", Path: "/", Arrived: start, Deadline: start.Add(c.deadline), BodyBuffered: true,
+		}, f.environment)
+		must.Eq(t, c.usable, got.Deadline.Sub(start))
+		must.Eq(t, c.grace, got.Grace)
+	}
+}
--- a/decide/call/continue.go
+++ b/decide/call/continue.go
@@ -32,11 +32,11 @@
 }
 
 // expiry returns when the call is refused without waiting further: at the
-// deadline, or DeadlineGrace later while an attempt is outstanding, so that the
+// deadline, or Grace later while an attempt is outstanding, so that the
 // receiving node's own refusal, which carries the verdict, arrives first.
 func (c Call) expiry() time.Time {
 	if c.hasOutstanding() {
-		return c.Deadline.Add(DeadlineGrace)
+		return c.Deadline.Add(c.Grace)
 	}
 	return c.Deadline
 }
--- a/front/caller/attempt.go
+++ b/front/caller/attempt.go
@@ -54,7 +54,7 @@
 // Calls. It returns true if there is a response that can be passed on.
 func (h *Handler) sendAttempt(x *exchange, c call.Call, attempt int) bool {
 	sentAt := h.Clock.Now()
-	timeout := c.Deadline.Sub(sentAt) + call.DeadlineGrace
+	timeout := c.Deadline.Sub(sentAt) + c.Grace
 	ctx, extend, cancel := hop.WithDeadline(x.request.Context(), timeout)
 	if !x.addCancel(attempt, cancel) {
 		cancel()
