--- a/decide/call/call.go
+++ b/decide/call/call.go
@@ -367,6 +367,20 @@
 	return c
 }
 
+// admissionDivisor gives a node a third of the time that is left to admit a request.
+// One that is cut off says nothing, and what is left is enough for another one.
+const admissionDivisor = 3
+
+// AdmissionTimeout returns how long the next attempt waits for its admission; zero
+// for no limit. A request that can run only once is sent in two steps, so that it is
+// known not to have run where no admission was received.
+func (c Call) AdmissionTimeout(now time.Time) time.Duration {
+	if c.Rule.Class.Idempotent() {
+		return 0
+	}
+	return max(c.Deadline.Sub(now)/admissionDivisor, time.Millisecond)
+}
+
 // Final reports whether the call has reached its response or refusal.
 func (c Call) Final() bool { return c.Step.Kind != Wait }
 
--- a/decide/call/record.go
+++ b/decide/call/record.go
@@ -65,7 +65,7 @@
 		return r.ObserveFailure(now)
 	case o.Load.Slots > 0:
 		return r.ObserveRefusal(now, class, o.Reason, o.RetryAfter, o.Load)
-	case o.Reason == verdict.DeadlineExceeded:
+	case o.Reason == verdict.DeadlineExceeded || o.Reason == verdict.NotAdmitted:
 		return r.ObserveAbandoned(now, class, o.Latency)
 	}
 	return r
--- a/encoding/hop/transport.go
+++ b/encoding/hop/transport.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -15,14 +18,17 @@
 )
 
 const (
-	dialTimeout     = time.Second
-	idleConnTimeout = time.Minute
+	dialTimeout = time.Second
+	// idleConnTimeout and defaultIdleConnsPerHost limit what idle connections hold:
+	// each costs about 35 KB at its two ends together, and a node has connections to
+	// every other node that it sends requests to.
+	idleConnTimeout = 15 * time.Second
 	// continueTimeout is longer than any deadline: a body with
 	// Expect: 100-continue is not sent before the request is admitted.
 	continueTimeout        = time.Hour
 	maxResponseHeaderBytes = 64 << 10
 	// defaultIdleConnsPerHost applies when connections are not bounded.
-	defaultIdleConnsPerHost = 64
+	defaultIdleConnsPerHost = 4
 )
 
 // NewTransport returns the transport of one hop. It uses HTTP/1.1 with one
@@ -134,19 +140,60 @@
 }
 
 // Send makes one attempt: it sends the request at most once. The verdict of a
-// failure is NotRun if no byte of the request was written to a connection, and
-// MayHaveRun otherwise.
+// failure is NotRun if no byte of the request was written to a connection, or none
+// of a body that is sent on admission, and MayHaveRun otherwise.
 func Send(transport http.RoundTripper, r *http.Request) (*http.Response, *verdict.Error) {
 	usage := &connUsage{}
 	trace := &httptrace.ClientTrace{GotConn: usage.gotConn}
-	response, err := transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	sent := r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
+	var body *bodyOnAdmission
+	if IsSentOnAdmission(r) {
+		body = &bodyOnAdmission{ReadCloser: r.Body}
+		sent.Body = body
+	}
+	response, err := transport.RoundTrip(sent)
 	if err == nil {
 		return response, nil
 	}
 	connected, wrote := usage.seal()
+	if body != nil && !body.read.Load() {
+		wrote = false
+	}
 	return nil, classifyFailure(r.Context(), err, connected, wrote)
 }
 
+// IsSentOnAdmission reports whether the body of a request is sent only once the
+// receiving node has admitted the request, which does not run without it.
+func IsSentOnAdmission(r *http.Request) bool {
+	return strings.EqualFold(r.Header.Get("Expect"), "100-continue")
+}
+
+// bodyOnAdmission is a body that is sent on admission. It records whether any of it
+// was read to be sent.
+type bodyOnAdmission struct {
+	io.ReadCloser
+	read atomic.Bool
+}
+
+// Read implements io.Reader.
+func (b *bodyOnAdmission) Read(p []byte) (int, error) {
+	b.read.Store(true)
+	return b.ReadCloser.Read(p)
+}
+
+// ErrNotAdmitted is the cause with which WithAdmissionTimeout ends a context.
+var ErrNotAdmitted = eris.New("hop: the request was not admitted in time")
+
+// WithAdmissionTimeout returns a context that ends if the receiving node has not
+// admitted the request after timeout. stop is called once the request has a
+// response or has failed.
+func WithAdmissionTimeout(ctx context.Context, timeout time.Duration) (_ context.Context, stop func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(timeout, func() { cancel(ErrNotAdmitted) })
+	trace := &httptrace.ClientTrace{Got100Continue: func() { timer.Stop() }}
+	return httptrace.WithClientTrace(ctx, trace), func() { timer.Stop() }
+}
+
 func classifyFailure(ctx context.Context, err error, connected, wrote bool) *verdict.Error {
 	v := verdict.NotRun
 	if wrote {
@@ -195,8 +242,11 @@
 
 // CancelReason returns why the context of a request has ended.
 func CancelReason(ctx context.Context) verdict.Reason {
-	if eris.Is(context.Cause(ctx), context.DeadlineExceeded) {
+	switch cause := context.Cause(ctx); {
+	case eris.Is(cause, context.DeadlineExceeded):
 		return verdict.DeadlineExceeded
+	case eris.Is(cause, ErrNotAdmitted):
+		return verdict.NotAdmitted
 	}
 	return verdict.CallerCanceled
 }
--- a/front/caller/attempt.go
+++ b/front/caller/attempt.go
@@ -71,7 +71,12 @@
 		failure = verdict.New(verdict.NotRun, verdict.DeadlineExceeded, nil)
 	}
 	if failure == nil {
-		response, metadata, failure = h.forward(request.WithContext(ctx))
+		admission, stop := ctx, func() {}
+		if limit := c.AdmissionTimeout(sentAt); limit > 0 && hop.IsSentOnAdmission(request) {
+			admission, stop = hop.WithAdmissionTimeout(ctx, limit)
+		}
+		response, metadata, failure = h.forward(request.WithContext(admission))
+		stop()
 		extend(call.BodyGrace)
 	}
 	outcome := call.Outcome{
@@ -152,7 +157,7 @@
 	request.Body = hop.NonReplayableBody{ReadCloser: x.body.newReader()}
 	request.ContentLength = x.body.size
 	request.Trailer = hop.ForwardedTrailers(r)
-	if x.body.isLarge() {
+	if x.body.isLarge() || !c.Rule.Class.Idempotent() && x.body.size != 0 {
 		request.Header.Set("Expect", "100-continue")
 	}
 	now := h.Clock.Now()
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -63,6 +63,7 @@
 	Shed                  Reason = "shed"               // overload: requests of the class are shed
 	ConnectFailed         Reason = "connect_failed"     // no connection to the next hop
 	TransportFailed       Reason = "transport_failed"   // the connection broke during the request
+	NotAdmitted           Reason = "not_admitted"       // the receiving node did not admit the request in time
 	BackendShed           Reason = "backend_shed"       // the backend server itself refused
 	BadRequest            Reason = "bad_request"        // malformed or oversized
 	CallerCanceled        Reason = "caller_gone"        // the caller canceled the request
