--- a/encoding/hop/transport.go
+++ b/encoding/hop/transport.go
@@ -19,9 +19,9 @@
 
 const (
 	dialTimeout = time.Second
-	// idleConnTimeout and defaultIdleConnsPerHost limit what idle connections hold:
-	// each costs about 35 KB at its two ends together, and a node has connections to
-	// every other node that it sends requests to.
+	// idleConnTimeout and defaultIdleConnsPerHost limit the memory of idle
+	// connections: each holds buffers and goroutines at both ends, and a node has
+	// connections to every other node that it sends requests to.
 	idleConnTimeout = 15 * time.Second
 	// continueTimeout is longer than any deadline: a body with
 	// Expect: 100-continue is not sent before the request is admitted.
