--- a/encoding/hop/pool.go
+++ b/encoding/hop/pool.go
@@ -65,7 +65,8 @@
 type poolConn struct {
 	*countingConn
 	address   string
-	heads     *HeadReader // below reader
+	heads     *HeadReader // below source
+	source    *headSource // below reader
 	reader    *bufio.Reader
 	writer    *bufio.Writer
 	idleSince time.Time
@@ -142,9 +143,12 @@
 		if err != nil {
 			return nil, eris.Wrap(err, "hop: read response")
 		}
-		if response.StatusCode >= 100 && response.StatusCode < 200 {
+		if isInterimStatus(response.StatusCode) {
 			continue
 		}
+		if !isFinalStatus(response.StatusCode) {
+			return nil, errInvalidStatus
+		}
 		if isResponseTo == nil || isResponseTo(response, r) {
 			return response, nil
 		}
@@ -161,10 +165,14 @@
 // budget, those of a body that is already buffered included.
 func (c *poolConn) readHead(r *http.Request, budget *int64) (*http.Response, error) {
 	c.heads.Limit(*budget)
-	response, err := http.ReadResponse(c.reader, r)
-	*budget = c.heads.remaining
-	c.heads.Unlimit()
-	return response, err
+	defer func() {
+		*budget = c.heads.remaining
+		c.heads.Unlimit()
+	}()
+	if err := c.checkFraming(); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(c.reader, r)
 }
 
 // get returns an idle connection to address or opens a new one.
@@ -188,9 +196,10 @@
 		return nil, false, err
 	}
 	heads := NewHeadReader(dialed)
+	source := &headSource{heads: heads}
 	return &poolConn{
-		countingConn: dialed.(*countingConn), address: address, maxIdle: defaultMaxIdle, heads: heads,
-		reader: bufio.NewReaderSize(heads, connBufferBytes), writer: bufio.NewWriterSize(dialed, connBufferBytes),
+		countingConn: dialed.(*countingConn), address: address, maxIdle: defaultMaxIdle, heads: heads, source: source,
+		reader: bufio.NewReaderSize(source, connBufferBytes), writer: bufio.NewWriterSize(dialed, connBufferBytes),
 	}, false, nil
 }
 
@@ -252,7 +261,7 @@
 // usable reports whether an idle connection can carry a request: it was not idle
 // for too long, was not closed by the other side, and holds no stray bytes.
 func (c *poolConn) usable() bool {
-	return time.Since(c.idleSince) < c.maxIdle && c.reader.Buffered() == 0 && network.IsReusable(c.Conn)
+	return time.Since(c.idleSince) < c.maxIdle && !c.hasUnread() && network.IsReusable(c.Conn)
 }
 
 // poolBody returns its connection to the pool at the end of the response body.
@@ -290,7 +299,7 @@
 func (b *poolBody) finish(atEnd bool) {
 	b.once.Do(func() {
 		notCanceled := b.stop()
-		if atEnd && notCanceled && b.keepAlive && b.requestSent() && b.conn.reader.Buffered() == 0 {
+		if atEnd && notCanceled && b.keepAlive && b.requestSent() && !b.conn.hasUnread() {
 			b.pool.put(b.conn)
 			return
 		}
--- a/encoding/hop/transport.go
+++ b/encoding/hop/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -81,6 +82,16 @@
 	return n, err
 }
 
+// Read implements net.Conn. The end of a connection that was not closed in order is
+// io.ErrUnexpectedEOF, so that no body without a length is complete by it.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err == io.EOF && !network.ClosedInOrder(c.Conn) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
 // writtenBytes returns the number of bytes written so far.
 func (c *countingConn) writtenBytes() int64 {
 	c.mu.Lock()
@@ -135,12 +146,23 @@
 
 // Send makes one attempt: it sends the request at most once. The verdict of a
 // failure is NotRun if no byte of the request was written to a connection, and
-// MayHaveRun otherwise.
+// MayHaveRun otherwise. A response with an invalid status is a failure. A body
+// that ends with its connection is complete only if the request's body was read to
+// its end before.
 func Send(transport http.RoundTripper, r *http.Request) (*http.Response, *verdict.Error) {
 	usage := &connUsage{}
 	trace := &httptrace.ClientTrace{GotConn: usage.gotConn}
-	response, err := transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
+	sent := trackUpload(r)
+	response, err := transport.RoundTrip(r)
+	if err == nil && !isFinalStatus(response.StatusCode) {
+		_ = response.Body.Close() // the status is the more useful error
+		return nil, verdict.New(verdict.MayHaveRun, verdict.TransportFailed, errInvalidStatus)
+	}
 	if err == nil {
+		if !isDelimited(response) {
+			response.Body = &undelimitedBody{ReadCloser: response.Body, sent: sent}
+		}
 		return response, nil
 	}
 	connected, wrote := usage.seal()
--- a/front/caller/attempt.go
+++ b/front/caller/attempt.go
@@ -113,6 +113,10 @@
 	}
 	metadata := hop.ReadResponseInfo(response.Header)
 	if metadata.Verdict == verdict.Ran && metadata.Reason == "" {
+		if failure := hop.RequireDelimited(response); failure != nil {
+			response.Body.Close()
+			return nil, metadata, failure
+		}
 		return response, metadata, nil
 	}
 	response.Body.Close()
--- a/front/caller/handler.go
+++ b/front/caller/handler.go
@@ -229,7 +229,7 @@
 		reason := hop.BodyFailure(response)
 		h.Count(EventTruncated, reason)
 		h.Record.Ended(x.call, reason, h.Clock.Now())
-		panic(http.ErrAbortHandler)
+		hop.AbortResponse(w, x.request)
 	}
 }
 
--- a/front/pipeline/exchange.go
+++ b/front/pipeline/exchange.go
@@ -10,6 +10,10 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/marigoldshelf/marigoldshelf/network"
 )
 
 const (
@@ -21,6 +25,10 @@
 	maxBufferedBytes = 256 << 10
 )
 
+// errPipelinedHTTP10: the response has no length and HTTP/1.0 has no chunks, so it
+// ends with the connection, but a later request was read from it.
+var errPipelinedHTTP10 = eris.New("pipeline: HTTP/1.0 request was pipelined")
+
 // exchange is a request and its response. It implements http.ResponseWriter and
 // the methods that http.ResponseController uses.
 type exchange struct {
@@ -37,6 +45,7 @@
 	buffered      bytes.Buffer // body bytes before the header is written
 	headerWritten bool
 	chunked       bool
+	undelimited   bool  // the body ends with the connection
 	err           error // first error of writing the response
 }
 
@@ -211,6 +220,10 @@
 	x.setError(x.conn.writer.Flush())
 	if x.err != nil {
 		x.conn.abort()
+		return
+	}
+	if x.undelimited {
+		network.ResetOnClose(x.conn.netConn, false) // the body is complete
 	}
 }
 
@@ -225,6 +238,8 @@
 	if x.header.Get("Content-Length") == "" && !bodyless {
 		if length >= 0 {
 			x.header.Set("Content-Length", strconv.FormatInt(length, 10))
+		} else if !x.request.ProtoAtLeast(1, 1) {
+			x.undelimited = true
 		} else {
 			x.chunked = true
 			x.header.Set("Transfer-Encoding", "chunked")
@@ -235,6 +250,12 @@
 	x.header.Del("Connection")
 	if x.conn.commitClose(x, closeWanted) {
 		x.header.Set("Connection", "close")
+	} else if x.undelimited {
+		x.setError(errPipelinedHTTP10)
+		return
+	}
+	if x.undelimited {
+		network.ResetOnClose(x.conn.netConn, true)
 	}
 	w := x.conn.writer
 	_, err := w.WriteString("HTTP/1.1 " + statusLine(x.status) + "\r\n")
--- a/network/liveness.go
+++ b/network/liveness.go
@@ -55,6 +55,46 @@
 	return err == nil && reusable
 }
 
+// tcpCloseWait is TCP_CLOSE_WAIT of the kernel's connection states: the other side
+// has sent FIN, and no reset has followed.
+const tcpCloseWait = 8
+
+// ClosedInOrder reports whether a connection whose reads have ended was closed in
+// order by the other side and not reset. The end of the reads alone does not tell: a
+// write in progress takes the error of a reset, and the next read returns io.EOF. It
+// returns true for a connection that does not expose its socket.
+func ClosedInOrder(c net.Conn) bool {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	inOrder := false
+	err = raw.Control(func(fd uintptr) {
+		info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		inOrder = infoErr == nil && info.State == tcpCloseWait
+	})
+	return err == nil && inOrder
+}
+
+// ResetOnClose sets whether the end of a connection is a reset instead of an orderly
+// close, also if the process ends. It does nothing for a connection that does not
+// support it.
+func ResetOnClose(c net.Conn, reset bool) {
+	socket, ok := c.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return
+	}
+	seconds := -1 // the default of the operating system
+	if reset {
+		seconds = 0
+	}
+	_ = socket.SetLinger(seconds) // fails only if the connection is closed
+}
+
 // PeerHasClosed reports whether the other side has closed a connection, or its
 // sending direction, also if bytes before the close are unread. It consumes
 // nothing. It returns false for a connection that does not expose its socket.
