--- a/encoding/hop/incomplete_test.go
+++ b/encoding/hop/incomplete_test.go
@@ -174,7 +174,14 @@
 		}
 	}
 	for name, response := range contradictoryFraming {
-		t.Run(name, func(t *testing.T) { requireFailure(t, newPool(), response) })
+		t.Run(name+" from a backend server", func(t *testing.T) { requireFailure(t, newPool(), response) })
+		t.Run(name+" from a node", func(t *testing.T) {
+			requireFailure(t, hop.NewTransport(network.System{}, 0), response)
+		})
+		t.Run(name+" after an interim response", func(t *testing.T) {
+			interim := "HTTP/1.1 103 Early Hints\r\nContent-Length: 2\r\n\r\n"
+			requireFailure(t, hop.NewTransport(network.System{}, 0), interim+response)
+		})
 	}
 }
 
--- a/encoding/hop/pool.go
+++ b/encoding/hop/pool.go
@@ -190,7 +190,7 @@
 	if !p.reserve() {
 		return nil, false, eris.New("hop: limit of connections to the backend server reached")
 	}
-	dialed, err := dialWithTimeout(p.Network)(ctx, "tcp", address)
+	dialed, err := dialWithTimeout(p.Network, false)(ctx, "tcp", address)
 	if err != nil {
 		p.release()
 		return nil, false, err
--- a/encoding/hop/transport.go
+++ b/encoding/hop/transport.go
@@ -36,7 +36,7 @@
 		idle = defaultIdleConnsPerHost
 	}
 	return &http.Transport{
-		DialContext:            dialWithTimeout(dialer),
+		DialContext:            dialWithTimeout(dialer, true),
 		MaxConnsPerHost:        maxConnsPerHost,
 		MaxIdleConnsPerHost:    idle,
 		IdleConnTimeout:        idleConnTimeout,
@@ -47,8 +47,9 @@
 }
 
 // dialWithTimeout returns a dial function that applies dialTimeout and counts
-// the bytes written to each connection.
-func dialWithTimeout(dialer network.Network) func(context.Context, string, string) (net.Conn, error) {
+// the bytes written to each connection. With scansHeads it scans the heads of
+// responses.
+func dialWithTimeout(dialer network.Network, scansHeads bool) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, protocol, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 		defer cancel()
@@ -56,7 +57,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &countingConn{Conn: dialed}, nil
+		return &countingConn{Conn: dialed, scansHeads: scansHeads}, nil
 	}
 }
 
@@ -68,6 +69,41 @@
 	mu      sync.Mutex
 	written int64 // bytes
 	sealed  bool
+
+	// scan is set while the head of a response is awaited. framing is that of the
+	// last one.
+	scansHeads bool
+	scanMu     sync.Mutex
+	scan       *headScan
+	framing    framing
+}
+
+// scanHead starts to scan the head of the next response, on a connection of
+// NewTransport.
+func (c *countingConn) scanHead() {
+	if !c.scansHeads {
+		return
+	}
+	c.scanMu.Lock()
+	defer c.scanMu.Unlock()
+	c.scan, c.framing = &headScan{}, framing{}
+}
+
+// addScanned adds received bytes to the scan of a head.
+func (c *countingConn) addScanned(p []byte) {
+	c.scanMu.Lock()
+	defer c.scanMu.Unlock()
+	if c.scan != nil && c.scan.add(p) {
+		c.framing, c.scan = c.scan.framing, nil
+	}
+}
+
+// checkFraming returns an error if the framing of the last response contradicts
+// itself.
+func (c *countingConn) checkFraming() error {
+	c.scanMu.Lock()
+	defer c.scanMu.Unlock()
+	return c.framing.check()
 }
 
 // Write implements net.Conn. After seal it writes nothing.
@@ -86,6 +122,9 @@
 // io.ErrUnexpectedEOF, so that no body without a length is complete by it.
 func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if c.scansHeads {
+		c.addScanned(p[:n])
+	}
 	if err == io.EOF && !network.ClosedInOrder(c.Conn) {
 		err = io.ErrUnexpectedEOF
 	}
@@ -128,11 +167,22 @@
 	if c, ok := info.Conn.(*countingConn); ok {
 		u.conn = c
 		u.start = c.writtenBytes()
+		c.scanHead()
 		return
 	}
 	u.wrote = true // another type of connection does not count its writes
 }
 
+// checkFraming returns an error if the framing of the response contradicts itself.
+func (u *connUsage) checkFraming() error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.conn == nil {
+		return nil
+	}
+	return u.conn.checkFraming()
+}
+
 // seal closes the connection. It reports whether the request had a connection,
 // and whether any byte of the request was written.
 func (u *connUsage) seal() (connected, wrote bool) {
@@ -146,20 +196,25 @@
 
 // Send makes one attempt: it sends the request at most once. The verdict of a
 // failure is NotRun if no byte of the request was written to a connection, and
-// MayHaveRun otherwise. A response with an invalid status is a failure. A body
-// that ends with its connection is complete only if the request's body was read to
-// its end before.
+// MayHaveRun otherwise. A response with an invalid status or contradictory framing
+// is a failure. A body that ends with its connection is complete only if the
+// request's body was read to its end before.
 func Send(transport http.RoundTripper, r *http.Request) (*http.Response, *verdict.Error) {
 	usage := &connUsage{}
 	trace := &httptrace.ClientTrace{GotConn: usage.gotConn}
 	r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
 	sent := trackUpload(r)
 	response, err := transport.RoundTrip(r)
-	if err == nil && !isFinalStatus(response.StatusCode) {
-		_ = response.Body.Close() // the status is the more useful error
-		return nil, verdict.New(verdict.MayHaveRun, verdict.TransportFailed, errInvalidStatus)
-	}
 	if err == nil {
+		failure := usage.checkFraming()
+		if !isFinalStatus(response.StatusCode) {
+			failure = errInvalidStatus
+		}
+		if failure != nil {
+			_ = response.Body.Close() // failure is the more useful error
+			usage.seal()
+			return nil, verdict.New(verdict.MayHaveRun, verdict.TransportFailed, failure)
+		}
 		if !isDelimited(response) {
 			response.Body = &undelimitedBody{ReadCloser: response.Body, sent: sent}
 		}
--- a/encoding/hop/undelimited.go
+++ b/encoding/hop/undelimited.go
@@ -136,6 +136,7 @@
 type framing struct {
 	started                          bool
 	isHTTP10, hasLength, hasEncoding bool
+	isInterim                        bool
 }
 
 // add adds a line and reports whether it ends the head.
@@ -144,6 +145,8 @@
 	if !f.started {
 		f.started = true
 		f.isHTTP10 = bytes.HasPrefix(line, []byte("HTTP/1.0 "))
+		_, status, _ := bytes.Cut(line, []byte(" "))
+		f.isInterim = bytes.HasPrefix(status, []byte("1")) && !bytes.HasPrefix(status, []byte("101"))
 	}
 	name, _, _ := bytes.Cut(line, []byte(":"))
 	name = bytes.TrimSpace(name)
@@ -160,6 +163,42 @@
 	return nil
 }
 
+// scannedLineBytes is the part of a head's line that headScan keeps: the status, or
+// the names that framing looks for.
+const scannedLineBytes = 32
+
+// headScan reads the framing of the next final response from the bytes of a
+// connection, for http.Transport, which gives no access to them.
+type headScan struct {
+	framing framing
+	line    []byte // the start of the current line
+}
+
+// add adds bytes and reports whether the head has ended.
+func (s *headScan) add(p []byte) (ended bool) {
+	for len(p) > 0 {
+		n := bytes.IndexByte(p, '\n') + 1
+		part := p[:n]
+		if n == 0 {
+			part = p
+		}
+		s.line = append(s.line, part[:min(len(part), max(scannedLineBytes-len(s.line), 0))]...)
+		if n == 0 {
+			return false
+		}
+		p = p[n:]
+		end := s.framing.add(s.line)
+		s.line = s.line[:0]
+		if end && !s.framing.isInterim {
+			return true
+		}
+		if end {
+			s.framing = framing{}
+		}
+	}
+	return false
+}
+
 // checkFraming returns an error if the next head has a transfer encoding together
 // with a length or with HTTP/1.0. http.ReadResponse ignores one of the two, and RFC
 // 9112, 6.1, takes both for faulty framing. It consumes nothing.
