--- a/cmd/marigold/check.go
+++ b/cmd/marigold/check.go
@@ -8,6 +8,9 @@
 )
 
 type checkCommand struct {
+	File     string `arg:"" optional:"" type:"existingfile" help:"Configuration of the platform's store."`
+	InForce  string `type:"existingfile" help:"Version in force, to compare FILE with."`
+	Strict   bool   `help:"Warnings about FILE are failures, with exit code 1."`
 	Settings string `type:"existingfile" help:"Settings file of a node."`
 	Register string `type:"existingfile" help:"Asset register."`
 	Rules    string `type:"existingfile" help:"Rules; checked against the register."`
@@ -15,7 +18,10 @@
 
 // Help shows an example.
 func (checkCommand) Help() string {
-	return "Example: marigold check --settings node.json --register register.json --rules rules.json"
+	return `Examples: marigold check --settings node.json --register register.json --rules rules.json
+marigold check config.json --in-force current.json
+
+Exit codes with FILE: 0 no errors, 1 warnings with --strict, 2 errors.`
 }
 
 // checked is the output of check --json.
@@ -25,6 +31,9 @@
 
 // Run checks the files and prints every fault.
 func (c *checkCommand) Run(l *commandLine) error {
+	if c.File != "" {
+		return c.checkApproved(l)
+	}
 	faults := append(c.checkSettings(), c.checkConfig()...)
 	if l.JSON {
 		if err := l.printJSON(checked{Faults: append(route.Faults{}, faults...)}); err != nil {
--- a/decide/route/account.go
+++ b/decide/route/account.go
@@ -23,10 +23,10 @@
 	for _, a := range accounts {
 		l.entry = "account " + string(a.Name)
 		if a.Name == "" || !httpguts.ValidHeaderFieldValue(string(a.Name)) {
-			l.add("has no name that fits into a header")
+			l.addField("name", "has no name that fits into a header")
 		}
 		if _, exists := index.byName[a.Name]; exists {
-			l.add("is defined twice")
+			l.addField("name", "is defined twice")
 		}
 		if a.RatePerSecond < 0 || a.Burst < 0 || a.Priority < 0 {
 			l.add("has a negative rate, burst or priority")
@@ -34,7 +34,7 @@
 		index.byName[a.Name] = a
 		for _, key := range a.Keys {
 			if other, exists := index.byKey[key]; exists && other != a.Name {
-				l.add("shares a key with account %s", other)
+				l.addField("apiKeys", "shares a key with account %s", other)
 			}
 			index.byKey[key] = a.Name
 		}
--- a/decide/route/approved.go
+++ b/decide/route/approved.go
@@ -27,7 +27,7 @@
 			index[hostName] = make(literalRoutes)
 		}
 		if other, exists := index[hostName][r.PathPrefix]; exists {
-			l.add("matches the same requests as route %s", other.ID)
+			l.addField("pathPrefix", "matches the same requests as route %s", other.ID)
 		}
 		index[hostName][r.PathPrefix] = r
 	}
@@ -44,32 +44,32 @@
 // checkApproved checks one route of approved configuration.
 func (l *faultList) checkApproved(r mesh.Route) {
 	if r.HostName == "" {
-		l.add("has no host name")
+		l.addField("host", "has no host name")
 	}
 	if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
-		l.add("path prefix %q does not begin and end with /", r.PathPrefix)
+		l.addField("pathPrefix", "path prefix %q does not begin and end with /", r.PathPrefix)
 	}
 	if r.Unreadable != "" {
 		return // only its match is known
 	}
 	if r.Service == "" && len(r.Split) == 0 {
-		l.add("has no service")
+		l.addField("service", "has no service")
 	}
 	totalWeight := 0
 	for _, share := range r.Split {
 		if share.Weight < 0 || share.Service == "" {
-			l.add("has a share without a service or with a negative weight")
+			l.addField("trafficSplit", "has a share without a service or with a negative weight")
 		}
 		totalWeight += share.Weight
 	}
 	if len(r.Split) > 0 && totalWeight == 0 {
-		l.add("has shares with a total weight of zero")
+		l.addField("trafficSplit", "has shares with a total weight of zero")
 	}
 	if !r.Class.Valid() {
-		l.add("unknown class: %q", r.Class)
+		l.addField("kind", "unknown class: %q", r.Class)
 	}
 	if r.DeadlineMillis < 1 {
-		l.add("timeout %d ms is not positive", r.DeadlineMillis)
+		l.addField("timeout", "timeout %d ms is not positive", r.DeadlineMillis)
 	}
 }
 
--- a/decide/route/check.go
+++ b/decide/route/check.go
@@ -13,6 +13,9 @@
 type Fault struct {
 	// Location names the entry, such as "rule bookings" or "host fes-1".
 	Location string `json:"where"`
+	// Field names the field of an entry of approved configuration; empty if the
+	// fault concerns the entry as a whole.
+	Field string `json:"field,omitempty"`
 	// Message describes the fault. The texts of Check are stored in the log's
 	// snapshots, as the detail of a refused proposal.
 	Message string `json:"what"`
@@ -66,7 +69,12 @@
 }
 
 func (l *faultList) add(format string, values ...any) {
-	l.faults = append(l.faults, Fault{l.entry, fmt.Sprintf(format, values...)})
+	l.addField("", format, values...)
+}
+
+// addField adds a fault of a field of the entry.
+func (l *faultList) addField(field, format string, values ...any) {
+	l.faults = append(l.faults, Fault{Location: l.entry, Field: field, Message: fmt.Sprintf(format, values...)})
 }
 
 // checkKey checks an entry's name and that it equals the entry's key.
