--- a/encoding/hop/transport.go
+++ b/encoding/hop/transport.go
@@ -8,7 +8,6 @@
 	"net/http/httptrace"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -41,7 +40,7 @@
 		idle = defaultIdleConnsPerHost
 	}
 	return &http.Transport{
-		DialContext:            dialWithTimeout(dialer),
+		DialContext:            dialWithTimeout(dialer, true),
 		MaxConnsPerHost:        maxConnsPerHost,
 		MaxIdleConnsPerHost:    idle,
 		IdleConnTimeout:        idleConnTimeout,
@@ -52,8 +51,9 @@
 }
 
 // dialWithTimeout returns a dial function that applies dialTimeout and counts
-// the bytes written to each connection.
-func dialWithTimeout(dialer network.Network) func(context.Context, string, string) (net.Conn, error) {
+// the bytes written to each connection. With scansHeads it scans the heads of
+// responses.
+func dialWithTimeout(dialer network.Network, scansHeads bool) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, protocol, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 		defer cancel()
@@ -61,7 +61,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &countingConn{Conn: dialed}, nil
+		return &countingConn{Conn: dialed, scansHeads: scansHeads}, nil
 	}
 }
 
@@ -73,6 +73,41 @@
 	mu      sync.Mutex
 	written int64 // bytes
 	sealed  bool
+
+	// scan is set while the head of a response is awaited. framing is that of the
+	// last one.
+	scansHeads bool
+	scanMu     sync.Mutex
+	scan       *headScan
+	framing    framing
+}
+
+// scanHead starts to scan the head of the next response, on a connection of
+// NewTransport.
+func (c *countingConn) scanHead() {
+	if !c.scansHeads {
+		return
+	}
+	c.scanMu.Lock()
+	defer c.scanMu.Unlock()
+	c.scan, c.framing = &headScan{}, framing{}
+}
+
+// addScanned adds received bytes to the scan of a head.
+func (c *countingConn) addScanned(p []byte) {
+	c.scanMu.Lock()
+	defer c.scanMu.Unlock()
+	if c.scan != nil && c.scan.add(p) {
+		c.framing, c.scan = c.scan.framing, nil
+	}
+}
+
+// checkFraming returns an error if the framing of the last response contradicts
+// itself.
+func (c *countingConn) checkFraming() error {
+	c.scanMu.Lock()
+	defer c.scanMu.Unlock()
+	return c.framing.check()
 }
 
 // Write implements net.Conn. After seal it writes nothing.
@@ -87,6 +122,19 @@
 	return n, err
 }
 
+// Read implements net.Conn. The end of a connection that was not closed in order is
+// io.ErrUnexpectedEOF, so that no body without a length is complete by it.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.scansHeads {
+		c.addScanned(p[:n])
+	}
+	if err == io.EOF && !network.ClosedInOrder(c.Conn) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
 // writtenBytes returns the number of bytes written so far.
 func (c *countingConn) writtenBytes() int64 {
 	c.mu.Lock()
@@ -123,11 +171,22 @@
 	if c, ok := info.Conn.(*countingConn); ok {
 		u.conn = c
 		u.start = c.writtenBytes()
+		c.scanHead()
 		return
 	}
 	u.wrote = true // another type of connection does not count its writes
 }
 
+// checkFraming returns an error if the framing of the response contradicts itself.
+func (u *connUsage) checkFraming() error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.conn == nil {
+		return nil
+	}
+	return u.conn.checkFraming()
+}
+
 // seal closes the connection. It reports whether the request had a connection,
 // and whether any byte of the request was written.
 func (u *connUsage) seal() (connected, wrote bool) {
@@ -141,22 +200,32 @@
 
 // Send makes one attempt: it sends the request at most once. The verdict of a
 // failure is NotRun if no byte of the request was written to a connection, or none
-// of a body that is sent on admission, and MayHaveRun otherwise.
+// of a body that is sent on admission, and MayHaveRun otherwise. A response with an
+// invalid status or contradictory framing is a failure. A body that ends with its
+// connection is complete only if the request's body was read to its end before.
 func Send(transport http.RoundTripper, r *http.Request) (*http.Response, *verdict.Error) {
 	usage := &connUsage{}
 	trace := &httptrace.ClientTrace{GotConn: usage.gotConn}
-	sent := r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
-	var body *bodyOnAdmission
-	if IsSentOnAdmission(r) {
-		body = &bodyOnAdmission{ReadCloser: r.Body}
-		sent.Body = body
-	}
-	response, err := transport.RoundTrip(sent)
+	r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
+	sent := trackUpload(r)
+	response, err := transport.RoundTrip(r)
 	if err == nil {
+		failure := usage.checkFraming()
+		if !isFinalStatus(response.StatusCode) {
+			failure = errInvalidStatus
+		}
+		if failure != nil {
+			_ = response.Body.Close() // failure is the more useful error
+			usage.seal()
+			return nil, verdict.New(verdict.MayHaveRun, verdict.TransportFailed, failure)
+		}
+		if !isDelimited(response) {
+			response.Body = &undelimitedBody{ReadCloser: response.Body, sent: sent}
+		}
 		return response, nil
 	}
 	connected, wrote := usage.seal()
-	if body != nil && !body.read.Load() {
+	if IsSentOnAdmission(r) && !sent.started.Load() {
 		wrote = false
 	}
 	return nil, classifyFailure(r.Context(), err, connected, wrote)
@@ -168,19 +237,6 @@
 	return strings.EqualFold(r.Header.Get("Expect"), "100-continue")
 }
 
-// bodyOnAdmission is a body that is sent on admission. It records whether any of it
-// was read to be sent.
-type bodyOnAdmission struct {
-	io.ReadCloser
-	read atomic.Bool
-}
-
-// Read implements io.Reader.
-func (b *bodyOnAdmission) Read(p []byte) (int, error) {
-	b.read.Store(true)
-	return b.ReadCloser.Read(p)
-}
-
 // ErrNotAdmitted is the cause with which WithAdmissionTimeout ends a context.
 var ErrNotAdmitted = eris.New("hop: the request was not admitted in time")
 
