--- a/controllers/approved/approved.go
+++ b/controllers/approved/approved.go
@@ -13,6 +13,7 @@
 
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/controller"
+	"github.com/marigoldshelf/marigoldshelf/controllers/storeera"
 	"github.com/marigoldshelf/marigoldshelf/decide/reader"
 	"github.com/marigoldshelf/marigoldshelf/decide/route"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
@@ -77,6 +78,14 @@
 	// peerBackoff is the delay after a failed request to a peer, and after a
 	// request that found no peer to ask.
 	peerBackoff = 200 * time.Millisecond
+	// maxHoldTime limits how long the first document that the store returns after
+	// the start waits for answers of peers. Usually a node joins within a second. If
+	// the restored store has lost the announcements, the other nodes notice within
+	// 2.4 s (maxStoreBackoff and its jitter) and write theirs within another second.
+	maxHoldTime = 5 * time.Second
+	// maxHoldAnswers is the number of peers without a document after whose answers
+	// the wait ends: then the whole fleet is starting.
+	maxHoldAnswers = 3
 )
 
 // Config holds the parameters of the controller.
@@ -96,6 +105,9 @@
 	// the first time, and with a nil error and the number of consecutive
 	// failures when it answers again. It is called inside a transaction.
 	OnSourceChange func(source string, failures int, err error)
+	// OnEraChange is called for each change of the store's era that the controller
+	// observes, inside a transaction; nil ignores it.
+	OnEraChange storeera.OnChange
 }
 
 // documentFetcher fetches documents from the sources and activates them.
@@ -121,8 +133,12 @@
 func (f *documentFetcher) reconcile(now time.Time, source string) (result controller.Result) {
 	var newer tables.Document
 	var rejected tables.RejectedDocument
-	f.Board.Do(func(tx *blackboard.Tx) { newer, rejected = f.processResult(tx, now, source) },
-		f.Document.Read(), f.Rejected.Write(), f.Sources.Write(), f.DocumentResults.Write())
+	f.Board.Do(func(tx *blackboard.Tx) {
+		newer, rejected = f.processResult(tx, now, source)
+		newer = f.confirm(tx, now, source, newer)
+	},
+		f.Document.Read(), f.Rejected.Write(), f.Sources.Write(), f.Held.Write(), f.Announced.Read(),
+		f.StoreEra.Write(), f.DocumentResults.Write())
 	if newer.Version > 0 {
 		rejected = f.activate(newer, source)
 	}
@@ -130,7 +146,8 @@
 		f.OnRejected(rejected)
 	}
 	f.Board.Do(func(tx *blackboard.Tx) { result = f.requestNext(tx, now, source) },
-		f.Document.Read(), f.Rejected.Read(), f.Sources.Write(), f.Announced.Read(), f.Members.Read(), f.Zones.Read(), f.DocumentRequests.Write())
+		f.Document.Read(), f.Rejected.Read(), f.Sources.Write(), f.Held.Read(), f.Announced.Read(), f.Members.Read(), f.Zones.Read(),
+		f.StoreEra.Read(), f.DocumentRequests.Write())
 	return result
 }
 
@@ -145,6 +162,11 @@
 	}
 	f.DocumentResults.Delete(tx, source)
 	state, _ := f.Sources.Get(tx, source)
+	if source == SourceStore && storeera.Observe(tx, f.Tables, r.Request.Era, r.Era, f.OnEraChange) {
+		// The answer is of an era that has ended, and so is its cursor.
+		f.Sources.Put(tx, source, tables.SourceState{AnsweredAt: now})
+		return newer, rejected
+	}
 	if r.Err != nil {
 		if state.Failures == 0 {
 			f.OnSourceChange(source, 0, r.Err)
@@ -163,7 +185,16 @@
 	if state.Failures > 0 {
 		f.OnSourceChange(source, state.Failures, nil)
 	}
-	state = tables.SourceState{AnsweredAt: now, Cursor: r.Cursor}
+	state = tables.SourceState{AnsweredAt: now, Cursor: r.Cursor, Era: r.Era}
+	if r.Era == 0 {
+		state.Era = f.StoreEra.Get(tx)
+	}
+	if held := f.Held.Get(tx); source == SourcePeers && held.Document.Version > 0 && r.Document.Version == 0 && r.Rejected.Reason == "" {
+		held.Answers++
+		held.Confirmed = held.Confirmed || r.InForce > 0
+		f.Held.Set(tx, held)
+		state.NextAt = now.Add(peerBackoff)
+	}
 	switch {
 	case r.Rejected.Reason != "" && (r.Rejected.Version == 0 || r.Rejected.Version > f.Document.Get(tx).Version):
 		rejected = r.Rejected
@@ -182,6 +213,42 @@
 	return newer, rejected
 }
 
+// confirm returns the document to activate. While no document is in force, one of
+// a store that states its era is held until peers had the chance to name a newer
+// one: the store can have been restored from a copy that lacks it. The wait ends
+// when a peer with a document in force, or maxHoldAnswers peers without one, have
+// nothing newer, or after maxHoldTime.
+func (f *documentFetcher) confirm(tx *blackboard.Tx, now time.Time, source string, newer tables.Document) tables.Document {
+	held := f.Held.Get(tx)
+	switch inForce := f.Document.Get(tx).Version; {
+	case inForce > 0 || source != SourceStore && newer.Version > 0:
+		if held.Document.Version > 0 {
+			f.Held.Set(tx, tables.HeldDocument{})
+		}
+		if held.Document.Version > max(newer.Version, inForce) {
+			return held.Document // newer than the one that a peer had
+		}
+		return newer
+	case newer.Version > held.Document.Version && f.StoreEra.Get(tx) > 0:
+		if held.Document.Version == 0 {
+			held.Since = now
+			f.handle.AddAt(SourceStore, now.Add(maxHoldTime))
+			f.handle.Add(SourcePeers)
+		}
+		held.Document = newer
+		f.Held.Set(tx, held)
+	case held.Document.Version == 0:
+		return newer
+	}
+	expired := !now.Before(held.Since.Add(maxHoldTime))
+	answered := (held.Confirmed || held.Answers >= maxHoldAnswers) && f.Announced.Get(tx).Version <= held.Document.Version
+	if !expired && !answered {
+		return tables.Document{}
+	}
+	f.Held.Set(tx, tables.HeldDocument{})
+	return held.Document
+}
+
 // backoff returns the delay before the next request to a source that failed to
 // answer, given the number of failures before this one.
 func (f *documentFetcher) backoff(source string, failures int) time.Duration {
@@ -252,8 +319,12 @@
 		if now.Sub(state.AnsweredAt) > storeWait+batchDelay+storeSilenceTimeout {
 			state.Cursor = 0 // as after a failure
 		}
+		era := f.StoreEra.Get(tx)
+		if state.Era != era {
+			state.Cursor = 0 // the store has been restored since
+		}
 		f.DocumentRequests.Put(tx, SourceStore, tables.DocumentRequest{
-			NewerThan: max(known, f.Rejected.Get(tx).Version), Cursor: state.Cursor, Wait: storeWait,
+			NewerThan: max(known, f.Rejected.Get(tx).Version), Cursor: state.Cursor, CursorEra: state.Era, Era: era, Wait: storeWait,
 		})
 		return controller.Result{}
 	case source == SourceFeed:
@@ -269,9 +340,12 @@
 	if !found {
 		return controller.Result{RequeueAfter: peerBackoff}
 	}
-	f.DocumentRequests.Put(tx, SourcePeers, tables.DocumentRequest{
-		Address: address, NewerThan: known, Wait: peerWait,
-	})
+	request := tables.DocumentRequest{Address: address, NewerThan: known, Wait: peerWait}
+	if held := f.Held.Get(tx); held.Document.Version > 0 {
+		// The peer answers at once, so that the held document is not delayed.
+		request.NewerThan, request.Wait = held.Document.Version, 0
+	}
+	f.DocumentRequests.Put(tx, SourcePeers, request)
 	return controller.Result{}
 }
 
@@ -301,6 +375,12 @@
 func (f *documentFetcher) nextPeerRequest(tx *blackboard.Tx, role reader.Role, known mesh.Version) (due time.Time, host mesh.HostID) {
 	store, _ := f.Sources.Get(tx, SourceStore)
 	feed, _ := f.Sources.Get(tx, SourceFeed)
+	if held := f.Held.Get(tx); held.Document.Version > 0 {
+		if announced := f.Announced.Get(tx); announced.Version > held.Document.Version {
+			host = announced.Host
+		}
+		return time.Time{}, host
+	}
 	switch {
 	case store.Failures > 0 && f.readsStore(tx, role):
 		return time.Time{}, ""
--- a/controllers/approved/approved_test.go
+++ b/controllers/approved/approved_test.go
@@ -24,6 +24,8 @@
 	pool     *controller.Pool
 	tables   *tables.Tables
 	rejected int
+	// eraChanges counts the changes of era that the controller observed.
+	eraChanges int
 }
 
 func newHarness(t *testing.T) *harness {
@@ -35,6 +37,7 @@
 		OnActivated:    func(tables.Document, mesh.Version) {},
 		OnRejected:     func(tables.RejectedDocument) { h.rejected++ },
 		OnSourceChange: func(string, int, error) {},
+		OnEraChange:    func(uint64, uint64) { h.eraChanges++ },
 	})
 	h.settle()
 	return h
@@ -61,6 +64,35 @@
 	h.settle()
 }
 
+// answer answers the pending request to a source without advancing the clock.
+func (h *harness) answer(source string, result tables.DocumentResult) {
+	t := h.tables
+	t.Board.Do(func(tx *blackboard.Tx) {
+		t.DocumentRequests.Delete(tx, source)
+		t.DocumentResults.Put(tx, source, result)
+	}, t.DocumentRequests.Write(), t.DocumentResults.Write())
+	h.settle()
+}
+
+// putInForce ends the wait for peers and checks the version in force.
+func (h *harness) putInForce(t *testing.T, want mesh.Version) {
+	t.Helper()
+	h.clock.Advance(5 * time.Second)
+	h.settle()
+	must.Eq(t, want, h.activeVersion())
+}
+
+func (h *harness) setEra(era uint64) {
+	h.tables.Board.Do(func(tx *blackboard.Tx) { h.tables.StoreEra.Set(tx, era) }, h.tables.StoreEra.Write())
+	h.settle()
+}
+
+func (h *harness) addPeer() {
+	h.tables.Board.Do(func(tx *blackboard.Tx) {
+		h.tables.Members.Put(tx, "other", mesh.Member{Host: "other", State: mesh.Alive, PeerAddress: "10.0.0.2:1"})
+	}, h.tables.Members.Write())
+}
+
 func document(version mesh.Version, prefix string) tables.Document {
 	return tables.Document{Version: version, Raw: "raw", Config: &mesh.ApprovedConfig{Version: version, Routes: []mesh.Route{{
 		Rule: mesh.Rule{ID: "r", HostName: "h", PathPrefix: prefix, Service: "s", Class: mesh.Lookup, DeadlineMillis: 1},
@@ -171,3 +203,71 @@
 	must.Eq(t, "10.0.0.2:1", request.Address)
 	must.Eq(t, 3, request.NewerThan)
 }
+
+// Guards against a cursor that is used in another era, where its offset stands for
+// another record, and against a late answer of the former era that brings it back.
+func TestCursorOfAFormerEraIsDiscarded(t *testing.T) {
+	h := newHarness(t)
+	h.answerStore(tables.DocumentResult{Document: document(3, "/a/"), Cursor: 40, Era: 1})
+	h.putInForce(t, 3)
+	request, _ := h.pendingRequest(approved.SourceStore)
+	must.Eq(t, 1, request.CursorEra)
+	must.Eq(t, 40, request.Cursor)
+	h.setEra(2) // observed by the reader of announcements
+	h.answerStore(tables.DocumentResult{Request: request, Document: document(4, "/a/"), Cursor: 41, Era: 1})
+	must.Eq(t, 3, h.activeVersion(), must.Sprint("the late answer is ignored"))
+	request, _ = h.pendingRequest(approved.SourceStore)
+	must.Zero(t, request.Cursor)
+	must.Eq(t, 2, request.Era)
+	h.answerStore(tables.DocumentResult{Request: request, Document: document(5, "/a/"), Cursor: 12, Era: 2})
+	must.Eq(t, 5, h.activeVersion())
+	request, _ = h.pendingRequest(approved.SourceStore)
+	must.Eq(t, 12, request.Cursor)
+	must.Eq(t, 0, h.eraChanges, must.Sprint("the change was observed by another reader"))
+	h.answerStore(tables.DocumentResult{Request: request, Err: eris.New("status 503"), Era: 3})
+	must.Eq(t, 1, h.eraChanges)
+}
+
+// Guards against a started node that puts an older version of a restored store in
+// force before a peer could name the newer one.
+func TestFirstDocumentOfTheStoreWaitsForAPeer(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		answers []tables.DocumentResult
+		want    mesh.Version
+	}{
+		{"a peer has a newer one", []tables.DocumentResult{{Document: document(7, "/a/")}}, 7},
+		{"a peer has the same", []tables.DocumentResult{{InForce: 5}}, 5},
+		{"a peer has none", []tables.DocumentResult{{}}, 0},
+		{"three peers have none", []tables.DocumentResult{{}, {}, {}}, 5},
+		{"a peer fails", []tables.DocumentResult{{Err: eris.New("no answer")}}, 0},
+	} {
+		h := newHarness(t)
+		h.addPeer()
+		h.answer(approved.SourceStore, tables.DocumentResult{Document: document(5, "/a/"), Cursor: 9, Era: 2})
+		must.Zero(t, h.activeVersion(), must.Sprint(c.name))
+		for _, result := range c.answers {
+			h.clock.Advance(250 * time.Millisecond)
+			h.settle()
+			request, asked := h.pendingRequest(approved.SourcePeers)
+			must.True(t, asked, must.Sprint(c.name))
+			must.Eq(t, 5, request.NewerThan, must.Sprint(c.name))
+			result.Request = request
+			h.answer(approved.SourcePeers, result)
+		}
+		must.Eq(t, c.want, h.activeVersion(), must.Sprint(c.name))
+		h.clock.Advance(5 * time.Second)
+		h.settle()
+		must.Eq(t, max(c.want, 5), h.activeVersion(), must.Sprint(c.name, ", after the wait"))
+	}
+}
+
+// Guards against a document that is dropped: it is newer than the one in force at
+// the peer that the node hears of first, and the cursor is already past it.
+func TestHeldDocumentThatIsNewerThanThatOfAPeerIsPutInForce(t *testing.T) {
+	h := newHarness(t)
+	h.addPeer()
+	h.answer(approved.SourceStore, tables.DocumentResult{Document: document(6, "/a/"), Cursor: 9, Era: 2})
+	h.answer(approved.SourceFeed, tables.DocumentResult{Document: document(5, "/a/")})
+	must.Eq(t, 6, h.activeVersion())
+}
--- a/controllers/logread/logread.go
+++ b/controllers/logread/logread.go
@@ -8,8 +8,11 @@
 import (
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/controller"
+	"github.com/marigoldshelf/marigoldshelf/controllers/storeera"
 	"github.com/marigoldshelf/marigoldshelf/eventlog"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 )
@@ -52,6 +55,17 @@
 	ObserveRead(tx *blackboard.Tx, now time.Time, batch tables.LogBatch)
 }
 
+// RestartableConsumer is a Consumer that can apply a stream again from its start.
+// Without it, a consumer of a store that was restored from a copy continues at
+// its offset.
+type RestartableConsumer interface {
+	Consumer
+	// Restart is called when the position belongs to another era than the store,
+	// so that offsets up to NextOffset can have been assigned again. NextOffset
+	// must return 1 afterwards.
+	Restart(tx *blackboard.Tx)
+}
+
 // Register adds the controller for stream s. Adding s to the returned handle
 // makes the controller call ConditionalConsumer.ShouldRead again.
 func Register(p *controller.Pool, t *tables.Tables, s eventlog.Stream, c Consumer) controller.Handle[eventlog.Stream] {
@@ -62,6 +76,7 @@
 			handle.Add(s)
 		}
 	})
+	t.StoreEra.Watch(func() { handle.Add(s) })
 	handle.Add(s)
 	return handle
 }
@@ -72,7 +87,7 @@
 }
 
 func (r reader) reconcile(now time.Time, s eventlog.Stream) (result controller.Result) {
-	access := append(r.consumer.Access(), r.tables.LogReads.Write(), r.tables.LogBatches.Write())
+	access := append(r.consumer.Access(), r.tables.StoreEra.Write(), r.tables.StreamEras.Write(), r.tables.LogReads.Write(), r.tables.LogBatches.Write())
 	r.tables.Board.Do(func(tx *blackboard.Tx) {
 		result = r.processBatch(tx, now, s)
 	}, access...)
@@ -88,7 +103,12 @@
 		return controller.Result{}
 	}
 	batch, found := t.LogBatches.Get(tx, s)
+	late := found && batch.RetryAt.IsZero() && storeera.Observe(tx, t, batch.RequestEra, batch.Era, nil)
+	restarted := r.restart(tx, s)
 	switch {
+	case found && (late || restarted) && (batch.Err == nil || eris.Is(batch.Err, eventlog.ErrExpired)):
+		// The records are of another era than the position. They are read again.
+		batch.Err = nil
 	case found && batch.Err != nil && batch.RetryAt.IsZero():
 		delay := retryDelay(now, batch)
 		batch.RetryAt = now.Add(delay)
@@ -107,7 +127,7 @@
 	if conditional, ok := r.consumer.(ConditionalConsumer); ok && !conditional.ShouldRead(tx) {
 		return controller.Result{}
 	}
-	next := tables.LogRead{From: r.consumer.NextOffset(tx), Wait: readWait, RequestedAt: now}
+	next := tables.LogRead{From: r.consumer.NextOffset(tx), Wait: readWait, RequestedAt: now, Era: t.StoreEra.Get(tx)}
 	if batch.Err != nil {
 		next.Failures = batch.Failures + 1
 	}
@@ -115,6 +135,23 @@
 	return controller.Result{}
 }
 
+// restart calls the consumer's Restart if its position belongs to another era
+// than the known one, and reports whether it did. A position at the start of the
+// stream is valid in every era.
+func (r reader) restart(tx *blackboard.Tx, s eventlog.Stream) bool {
+	consumer, ok := r.consumer.(RestartableConsumer)
+	known := r.tables.StoreEra.Get(tx)
+	if of, _ := r.tables.StreamEras.Get(tx, s); !ok || of == known {
+		return false
+	}
+	r.tables.StreamEras.Put(tx, s, known)
+	if consumer.NextOffset(tx) <= 1 {
+		return false
+	}
+	consumer.Restart(tx)
+	return true
+}
+
 // retryDelay returns the delay after a failed read. The nanoseconds of now add
 // jitter, which spreads the retries of readers that failed at the same time. A
 // read that returned the oldest retained offset is retried almost at once.
--- a/controllers/membership/announce.go
+++ b/controllers/membership/announce.go
@@ -7,6 +7,8 @@
 
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/controller"
+	"github.com/marigoldshelf/marigoldshelf/controllers/storeera"
+	"github.com/marigoldshelf/marigoldshelf/decide/era"
 	"github.com/marigoldshelf/marigoldshelf/decide/membership"
 	"github.com/marigoldshelf/marigoldshelf/encoding/record"
 	"github.com/marigoldshelf/marigoldshelf/eventlog"
@@ -49,6 +51,10 @@
 	// maxJoinAddresses is the number of rows in JoinAddresses above which old ones
 	// are deleted.
 	maxJoinAddresses = 256
+	// maxRestoreAnnounceDelay bounds the random delay of the announcement after a
+	// change of era. A node that starts after the restore finds no other until one
+	// has announced itself; nodes of a fleet should not all write at once.
+	maxRestoreAnnounceDelay = time.Second
 )
 
 // registerAnnounce adds the controllers that read and write the stream of
@@ -56,7 +62,7 @@
 // has joined, and afterwards only relays read it occasionally.
 func (f fleetController) registerAnnounce(p *controller.Pool) {
 	read := controller.Register(p, "find members", f.reconcileFunc(f.readAnnouncements,
-		f.LogReads.Write(), f.LogBatches.Write(), f.Positions.Write()))
+		f.LogReads.Write(), f.LogBatches.Write(), f.StoreEra.Write(), f.Positions.Write(), f.StreamEras.Write()))
 	f.LogBatches.Watch(func(s eventlog.Stream) {
 		if s == eventlog.MembersStream {
 			read.Add(singletonKey)
@@ -64,18 +70,23 @@
 	})
 	read.Add(singletonKey)
 
-	write := controller.Register(p, "announce", f.reconcileFunc(f.announce, f.Appends.Write(), f.AppendResults.Write()))
+	write := controller.Register(p, "announce", f.reconcileFunc(f.announce,
+		f.StoreEra.Write(), f.Appends.Write(), f.AppendResults.Write()))
 	f.AppendResults.Watch(func(id string) {
 		if id == announcementID {
 			write.Add(singletonKey)
 		}
 	})
+	f.StoreEra.Watch(func() {
+		read.Add(singletonKey)
+		write.Add(singletonKey)
+	})
 	write.AddAt(singletonKey, p.Now().Add(f.jitter(maxAnnounceDelay)))
 }
 
 // readAnnouncements processes the batch in the inbox, if there is one, and
 // requests the next read when it is due. An empty batch is the end of the
-// stream.
+// stream. After a change of era the stream is read again from its start.
 func (f fleetController) readAnnouncements(tx *blackboard.Tx, now time.Time) controller.Result {
 	if _, pending := f.LogReads.Get(tx, eventlog.MembersStream); pending {
 		return controller.Result{}
@@ -83,7 +94,18 @@
 	schedule := f.AnnounceSchedule.Get(tx)
 	if batch, found := f.LogBatches.Get(tx, eventlog.MembersStream); found {
 		f.LogBatches.Delete(tx, eventlog.MembersStream)
-		schedule.ReadAt = now.Add(f.processBatch(tx, now, batch))
+		late := storeera.Observe(tx, f.Tables, batch.RequestEra, batch.Era, f.OnEraChange)
+		position, _ := f.Positions.Get(tx, eventlog.MembersStream)
+		restarted := f.restartStream(tx) && position > 0
+		// A read from a position of another era, or a late one, is repeated at
+		// once. The delay after a failed read applies all the same.
+		schedule.ReadAt = now
+		if isFailure := batch.Err != nil && !eris.Is(batch.Err, eventlog.ErrExpired); !late && !restarted || isFailure {
+			schedule.ReadAt = now.Add(f.processBatch(tx, now, batch))
+		}
+		f.AnnounceSchedule.Set(tx, schedule)
+	} else if f.restartStream(tx) {
+		schedule.ReadAt = now
 		f.AnnounceSchedule.Set(tx, schedule)
 	}
 	if now.Before(schedule.ReadAt) {
@@ -98,10 +120,37 @@
 	if joined {
 		wait = 0
 	}
-	f.LogReads.Put(tx, eventlog.MembersStream, tables.LogRead{From: last + 1, Wait: wait, RequestedAt: now})
+	f.LogReads.Put(tx, eventlog.MembersStream, tables.LogRead{
+		From: last + 1, Wait: wait, RequestedAt: now, Era: f.StoreEra.Get(tx),
+	})
 	return controller.Result{}
 }
 
+// restartStream discards the position in the stream if it belongs to another era
+// than the known one, and reports whether it did. The addresses found so far stay
+// usable; they count as the oldest ones of the new era, and the node's own is
+// found again once it is announced again.
+func (f fleetController) restartStream(tx *blackboard.Tx) bool {
+	known := f.StoreEra.Get(tx)
+	of, _ := f.StreamEras.Get(tx, eventlog.MembersStream)
+	if of == known {
+		return false
+	}
+	f.StreamEras.Put(tx, eventlog.MembersStream, known)
+	f.Positions.Delete(tx, eventlog.MembersStream)
+	f.JoinAddresses.Each(tx, func(address string, offset uint64) bool {
+		switch {
+		case offset == 0: // a seed
+		case address == f.Config.Self.ProbeAddress:
+			f.JoinAddresses.Delete(tx, address)
+		default:
+			f.JoinAddresses.Put(tx, address, 1)
+		}
+		return true
+	})
+	return true
+}
+
 // processBatch processes the result of a read and returns the delay until the
 // next one.
 func (f fleetController) processBatch(tx *blackboard.Tx, now time.Time, batch tables.LogBatch) time.Duration {
@@ -199,18 +248,31 @@
 }
 
 // announce appends this node's record to the stream if it is due and
-// shouldAnnounce returns true. Duplicate announcements are harmless.
+// shouldAnnounce returns true. Duplicate announcements are harmless. An
+// announcement of a former era can be lost, so it is repeated after a change of
+// era by each node that has observed the change.
 func (f fleetController) announce(tx *blackboard.Tx, now time.Time) controller.Result {
 	schedule := f.AnnounceSchedule.Get(tx)
 	if done, found := f.AppendResults.Get(tx, announcementID); found {
 		f.AppendResults.Delete(tx, announcementID)
+		storeera.Observe(tx, f.Tables, done.RequestEra, done.Era, f.OnEraChange)
 		delay := f.withJitter(relayAnnounceInterval)
 		if done.Err != nil {
 			delay = f.withJitter(retryDelay)
+		} else if era.SameLog(f.StoreEra.Get(tx), done.Era) {
+			schedule.Era, schedule.Lost = f.StoreEra.Get(tx), false
 		}
 		schedule.AnnounceAt = now.Add(delay)
 		f.AnnounceSchedule.Set(tx, schedule)
 	}
+	if known := f.StoreEra.Get(tx); schedule.Era != known {
+		// The first era that a node learns is not a change.
+		if schedule.Lost = schedule.Lost || schedule.Era > 0; schedule.Lost {
+			schedule.AnnounceAt = now.Add(f.jitter(maxRestoreAnnounceDelay))
+		}
+		schedule.Era = known
+		f.AnnounceSchedule.Set(tx, schedule)
+	}
 	if now.Before(schedule.AnnounceAt) {
 		return controller.Result{RequeueAfter: schedule.AnnounceAt.Sub(now)}
 	}
@@ -221,17 +283,17 @@
 	if err != nil || !f.shouldAnnounce(tx, now) {
 		return controller.Result{RequeueAfter: f.withJitter(joinTimeout)}
 	}
-	f.Appends.Put(tx, announcementID, tables.Append{Stream: eventlog.MembersStream, Data: string(data)})
+	f.Appends.Put(tx, announcementID, tables.Append{Stream: eventlog.MembersStream, Data: string(data), Era: f.StoreEra.Get(tx)})
 	return controller.Result{}
 }
 
 // shouldAnnounce reports whether the node is to announce itself: it is a relay,
-// or it has not joined and either has no address to join through or has tried for
+// it has observed a change of era, or it has not joined and either has no address to join through or has tried for
 // joinTimeout.
 func (f fleetController) shouldAnnounce(tx *blackboard.Tx, now time.Time) bool {
 	self := f.Tables.Self.Get(tx)
 	if self.Joined {
-		return f.isRelay(tx)
+		return f.isRelay(tx) || f.AnnounceSchedule.Get(tx).Lost
 	}
 	own, _ := f.Peers.Get(tx, self.Member.Host)
 	noJoinAddresses := f.JoinAddresses.Len(tx) == 0 && f.Peers.Len(tx) == 1
--- a/controllers/membership/membership.go
+++ b/controllers/membership/membership.go
@@ -15,6 +15,7 @@
 
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/controller"
+	"github.com/marigoldshelf/marigoldshelf/controllers/storeera"
 	"github.com/marigoldshelf/marigoldshelf/decide/membership"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/tables"
@@ -38,6 +39,9 @@
 	// OnMalformed is called with the offset of each announcement that cannot be
 	// used and the reason, inside a transaction; nil ignores it.
 	OnMalformed func(offset uint64, cause error)
+	// OnEraChange is called for each change of the store's era that these
+	// controllers observe, inside a transaction; nil ignores it.
+	OnEraChange storeera.OnChange
 }
 
 // Event is the metric label of a membership event.
--- a/decide/membership/self.go
+++ b/decide/membership/self.go
@@ -115,4 +115,9 @@
 	ReadAt time.Time
 	// AnnounceAt is when the node next decides whether to announce itself.
 	AnnounceAt time.Time
+	// Era is the era of the store in which the node last considered announcing
+	// itself. Announcements of a former era can be lost.
+	Era uint64
+	// Lost is set while an announcement is due because of a change of era.
+	Lost bool
 }
--- a/eventlog/eventlog.go
+++ b/eventlog/eventlog.go
@@ -60,6 +60,40 @@
 	Bounds(ctx context.Context, s Stream) (Bounds, error)
 }
 
+// EraLog is a Log of a platform that can be restored from an older copy. It
+// numbers its eras: the era is raised by one each time, records appended after
+// the copy was made are lost, and their offsets are assigned again. An offset is
+// therefore meaningful only within its era. Era zero is unknown; an era can be
+// returned with an error.
+type EraLog interface {
+	Log
+	// AppendInEra is Append, and returns the era of the response.
+	AppendInEra(ctx context.Context, s Stream, data []byte) (offset, era uint64, err error)
+	// ReadInEra is Read, and returns the era of the response. ErrExpired is also
+	// returned if from lies beyond the end of a log that was restored.
+	ReadInEra(ctx context.Context, s Stream, from uint64, wait time.Duration) (records []Record, era uint64, err error)
+}
+
+// Read reads from a log and returns the era of the response; zero if the log has
+// no eras.
+func Read(ctx context.Context, l Log, s Stream, from uint64, wait time.Duration) (records []Record, era uint64, err error) {
+	if e, ok := l.(EraLog); ok {
+		return e.ReadInEra(ctx, s, from, wait)
+	}
+	records, err = l.Read(ctx, s, from, wait)
+	return records, 0, err
+}
+
+// Append appends to a log and returns the era of the response; zero if the log
+// has no eras.
+func Append(ctx context.Context, l Log, s Stream, data []byte) (offset, era uint64, err error) {
+	if e, ok := l.(EraLog); ok {
+		return e.AppendInEra(ctx, s, data)
+	}
+	offset, err = l.Append(ctx, s, data)
+	return offset, 0, err
+}
+
 var (
 	// ErrRefused: the platform refused the append; the record is not in the log.
 	ErrRefused = eris.New("eventlog: append refused")
--- a/front/approved/approved.go
+++ b/front/approved/approved.go
@@ -43,7 +43,7 @@
 // Handler serves the document in force to peers. A GET waits up to the query
 // parameter wait (milliseconds, at most maxWait) for a document with a version
 // greater than the query parameter above. It responds with 200 and the document,
-// or with 204 if there is none in that time.
+// or with 204 if there is none in that time. Both name the version in force.
 //
 // A long document is compressed for peers that accept it: slow links carry it to
 // many peers at once. It is safe for concurrent use.
@@ -70,6 +70,9 @@
 	defer cancel()
 	document, err := h.Document.Await(ctx, func(d tables.Document) bool { return d.Version > mesh.Version(above) })
 	if err != nil {
+		if document, err := h.Document.Await(r.Context(), func(tables.Document) bool { return true }); err == nil {
+			w.Header().Set(headerVersion, strconv.FormatUint(uint64(document.Version), 10))
+		}
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
@@ -168,6 +171,9 @@
 func (c Client) readDocument(response *http.Response, result tables.DocumentResult) tables.DocumentResult {
 	switch response.StatusCode {
 	case http.StatusNoContent:
+		// Zero, which stands for none, without a valid header.
+		version, _ := strconv.ParseUint(response.Header.Get(headerVersion), 10, 64)
+		result.InForce = mesh.Version(version)
 		return result
 	case http.StatusOK:
 	default:
--- a/node/adapter.go
+++ b/node/adapter.go
@@ -88,9 +88,19 @@
 			n.record.configRejected(d)
 		},
 		OnSourceChange: n.record.sourceChanged,
+		OnEraChange:    n.storeEraChanged,
 	})
 }
 
+// storeEraEvent counts the changes of the store's era that the node has observed.
+const storeEraEvent = "store_era"
+
+// storeEraChanged records that the store was restored from a copy.
+func (n *Node) storeEraChanged(previous, current uint64) {
+	n.options.Metrics.Count(storeEraEvent, "changed")
+	n.record.storeEraChanged(previous, current)
+}
+
 // registerAdapterIO adds the I/O workers that read documents from the store and
 // from peers.
 func (n *Node) registerAdapterIO(ctx context.Context) {
--- a/node/config.go
+++ b/node/config.go
@@ -97,15 +97,17 @@
 		func(ctx context.Context, s eventlog.Stream, r tables.LogRead) tables.LogBatch {
 			ctx, cancel := context.WithTimeout(ctx, r.Wait+platformTimeout)
 			defer cancel()
-			records, err := log.Read(ctx, s, r.From, r.Wait)
-			return tables.LogBatch{From: r.From, RequestedAt: r.RequestedAt, Failures: r.Failures, Records: records, Err: err}
+			records, era, err := eventlog.Read(ctx, log, s, r.From, r.Wait)
+			return tables.LogBatch{
+				From: r.From, RequestedAt: r.RequestedAt, Failures: r.Failures, RequestEra: r.Era, Era: era, Records: records, Err: err,
+			}
 		})
 	outbox.Serve(ctx, n.ioPool, t.Board, "append", t.Appends, t.AppendResults,
 		func(ctx context.Context, _ string, a tables.Append) tables.AppendResult {
 			ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 			defer cancel()
-			offset, err := log.Append(ctx, a.Stream, []byte(a.Data))
-			return tables.AppendResult{Offset: offset, Err: err}
+			offset, era, err := eventlog.Append(ctx, log, a.Stream, []byte(a.Data))
+			return tables.AppendResult{Offset: offset, RequestEra: a.Era, Era: era, Err: err}
 		})
 	outbox.Serve(ctx, n.ioPool, t.Board, "bounds", t.BoundsRequests, t.BoundsResults,
 		func(ctx context.Context, s eventlog.Stream, r tables.BoundsRequest) tables.BoundsResult {
--- a/node/membership.go
+++ b/node/membership.go
@@ -33,6 +33,7 @@
 		Count: func(e membership.Event) {
 			n.options.Metrics.Count(membershipEvent, verdict.Reason(e))
 		},
+		OnEraChange: n.storeEraChanged,
 		OnMalformed: func(offset uint64, cause error) {
 			n.record.malformed("announcement", "log", eris.Wrapf(cause, "offset %d", offset))
 		},
--- a/node/record.go
+++ b/node/record.go
@@ -195,6 +195,12 @@
 	}
 }
 
+func (r recorder) storeEraChanged(previous, current uint64) {
+	if e := r.events.Line(logs.StateChange, partSource); e != nil {
+		e.Str("source", "store").Uint64("era_before", previous).Uint64("era", current).Msg("store restored from a copy")
+	}
+}
+
 func (r recorder) member(m mesh.Member, found bool) {
 	if e := r.events.Line(logs.StateChange, partMember); e != nil {
 		state := "forgotten"
--- a/tables/approved.go
+++ b/tables/approved.go
@@ -36,8 +36,12 @@
 	Address string
 	// NewerThan is the version that the node has; only a higher one is wanted.
 	NewerThan mesh.Version
-	// Cursor is the position in the store at which the last read ended.
-	Cursor int64
+	// Cursor is the position in the store at which the last read ended, and
+	// CursorEra the era of the store that it belongs to.
+	Cursor    int64
+	CursorEra uint64
+	// Era is the era of the store that the node knew when it sent the request.
+	Era uint64
 	// Wait is how long the source can hold the request until a newer document
 	// is published.
 	Wait time.Duration
@@ -54,7 +58,12 @@
 	// Cursor is the position in the store for the next read; zero while nothing
 	// has been published.
 	Cursor int64
-	Err    error
+	// Era is the era of the store in which it answered; zero if it is unknown.
+	Era uint64
+	// InForce is the version in force at a peer that had nothing newer; zero if
+	// it has none.
+	InForce mesh.Version
+	Err     error
 }
 
 // SourceState is the state of fetching documents from one source.
@@ -65,7 +74,22 @@
 	AnsweredAt time.Time
 	// NextAt is when the next request is due.
 	NextAt time.Time
+	// Cursor is a position in the store, Era the era that it belongs to.
 	Cursor int64
+	Era    uint64
+}
+
+// HeldDocument is the first document that the store returned after the start of
+// the node. It is not in force yet: a restored store can have lost a newer one
+// that other nodes have in force.
+type HeldDocument struct {
+	Document Document
+	// Since is when the store first returned a document.
+	Since time.Time
+	// Answers counts the peers that had nothing newer, Confirmed is set if one
+	// of them has a version in force.
+	Answers   int
+	Confirmed bool
 }
 
 // Announcement is the version of a newer document that another node has, as
@@ -86,6 +110,9 @@
 	// Rejected is the newest document, while it could not be put in force; it is
 	// empty once a later one is. Written by the controller approved.
 	Rejected *blackboard.Cell[RejectedDocument]
+	// Held is the document that waits for the answers of peers; it has version
+	// zero when there is none. Written by the controller approved.
+	Held *blackboard.Cell[HeldDocument]
 	// Sources holds the state of each source: the store, and all peers
 	// together. Written by the controller approved.
 	Sources *blackboard.Table[string, SourceState]
@@ -102,6 +129,7 @@
 	return Approved{
 		Document:         blackboard.NewCell[Document](b, "document", rankDocument),
 		Rejected:         blackboard.NewCell[RejectedDocument](b, "rejected", rankRejected),
+		Held:             blackboard.NewCell[HeldDocument](b, "held", rankHeld),
 		Sources:          blackboard.NewTable[string, SourceState](b, "sources", rankSources),
 		Announced:        blackboard.NewCell[Announcement](b, "announced", rankAnnounced),
 		DocumentRequests: blackboard.NewTable[string, DocumentRequest](b, "document_asks", rankDocumentRequests),
--- a/tables/order.go
+++ b/tables/order.go
@@ -22,6 +22,7 @@
 	rankDocument    blackboard.Rank = 130
 	rankRejected    blackboard.Rank = 131
 	rankSources     blackboard.Rank = 132
+	rankHeld        blackboard.Rank = 133
 	rankAnnounced   blackboard.Rank = 134
 
 	// Distribution: 150 to 199.
@@ -74,7 +75,9 @@
 
 	// Outboxes and inboxes: 900 to 979. The ranks 950 to 959 are those of
 	// distribution, below.
+	rankStoreEra      blackboard.Rank = 899
 	rankPositions     blackboard.Rank = 900
+	rankStreamEras    blackboard.Rank = 901
 	rankLogReads      blackboard.Rank = 910
 	rankLogBatches    blackboard.Rank = 920
 	rankAppends       blackboard.Rank = 930
