--- a/controllers/membership/network_test.go
+++ b/controllers/membership/network_test.go
@@ -42,6 +42,7 @@
 	drop        func(to *testNode, m membership.Message) bool
 	records     []eventlog.Record
 	logDown     bool
+	era         uint64 // era of the log; zero for a log without eras
 	appends     []time.Time
 	reads       int
 	bytes       int
@@ -225,7 +226,7 @@
 			offset := uint64(len(n.records) + 1)
 			n.records = append(n.records, eventlog.Record{Offset: offset, Data: []byte(a.Data)})
 			n.appends = append(n.appends, n.clock.Now())
-			b.AppendResults.Put(tx, id, tables.AppendResult{Offset: offset})
+			b.AppendResults.Put(tx, id, tables.AppendResult{Offset: offset, RequestEra: a.Era, Era: n.era})
 			return true
 		})
 	}, b.LogReads.Write(), b.LogBatches.Write(), b.Appends.Write(), b.AppendResults.Write())
@@ -234,13 +235,15 @@
 
 // completeRead completes a read. It returns false while the read waits for records.
 func (n *network) completeRead(tx *blackboard.Tx, h *testNode, read tables.LogRead) bool {
-	batch := tables.LogBatch{From: read.From}
+	batch := tables.LogBatch{From: read.From, RequestEra: read.Era, Era: n.era}
 	if h.readSince.IsZero() {
 		h.readSince = n.clock.Now()
 	}
 	switch {
 	case n.logDown:
-		batch.Err = eventlog.ErrUnavailable
+		batch.Err, batch.Era = eventlog.ErrUnavailable, 0
+	case n.era > 0 && read.From > uint64(len(n.records))+1:
+		batch.Err = &eventlog.ExpiredError{Oldest: 1}
 	case read.From <= uint64(len(n.records)):
 		batch.Records = n.records[read.From-1:]
 	case n.clock.Now().Sub(h.readSince) < read.Wait:
