--- a/cmd/marigold/measure.go
+++ b/cmd/marigold/measure.go
@@ -20,6 +20,7 @@
 	HOL         modelCommand       `cmd:"" name:"hol" help:"Bookings beside uploads, for several ways of admission."`
 	Stragglers  modelCommand       `cmd:"" help:"Lookups while some backend servers are slow, for several ways of choosing."`
 	Overload    modelCommand       `cmd:"" help:"Three times capacity, for several ways of admission."`
+	Speeds      modelCommand       `cmd:"" help:"Backend servers of differing speed: fixed weights, without and with learned limits."`
 }
 
 type loadCommand struct {
--- a/cmd/marigold/model.go
+++ b/cmd/marigold/model.go
@@ -19,6 +19,7 @@
 	"hol":        queuemodel.HeadOfLineBlocking,
 	"stragglers": queuemodel.Stragglers,
 	"overload":   queuemodel.Overload,
+	"speeds":     queuemodel.Speeds,
 }
 
 // Run prints the figures of each scheme, one JSON object per line.
--- a/controllers/admission/admission.go
+++ b/controllers/admission/admission.go
@@ -18,12 +18,19 @@
 // server.
 const singletonKey = 0
 
+// Config holds the settings of the controller.
+type Config struct {
+	// LearnsLimit reports whether the limit and speed of the backend server are
+	// learned. Nil means that they are not.
+	LearnsLimit func() bool
+}
+
 // Register adds the controller to the pool.
-func Register(p *controller.Pool, t *tables.Tables) {
+func Register(p *controller.Pool, t *tables.Tables, c Config) {
 	handle := controller.Register(p, "admission", func(now time.Time, _ int) (result controller.Result) {
-		t.Board.Do(func(tx *blackboard.Tx) { result = reconcile(tx, t, now) },
+		t.Board.Do(func(tx *blackboard.Tx) { result = reconcile(tx, t, now, c.LearnsLimit != nil && c.LearnsLimit()) },
 			t.Drain.Read(), t.Limits.Read(), t.SlotLimit.Write(), t.Admissions.Write(),
-			t.ServiceTimes.Write(), t.Occupancy.Write())
+			t.ServiceTimes.Write(), t.LearnedLimit.Write(), t.Occupancy.Write())
 		return result
 	})
 	t.Admissions.Watch(func(string) { handle.Add(singletonKey) })
@@ -33,14 +40,30 @@
 
 // reconcile processes the finished requests, decides on the others, and
 // schedules the next call for when time alone changes a decision.
-func reconcile(tx *blackboard.Tx, t *tables.Tables, now time.Time) controller.Result {
-	active := processFinished(tx, t, now)
+func reconcile(tx *blackboard.Tx, t *tables.Tables, now time.Time, learns bool) controller.Result {
+	learned := t.LearnedLimit.Get(tx)
+	if !learns {
+		learned = limit.Learned{}
+	}
+	active := processFinished(tx, t, now, func(r admit.Request) {
+		if learns {
+			learned = learned.Observe(now, t.Limits.Get(tx).Slots, limit.Sample{
+				Class: r.Class, Granted: r.Granted, Took: now.Sub(r.Granted), Busy: r.BusyAtGrant,
+			})
+		}
+	})
 	limits := t.Limits.Get(tx)
 	capacity, growsAt := t.SlotLimit.Get(tx).Grow(now, limits.Slots)
 	if capacity != t.SlotLimit.Get(tx) {
 		t.SlotLimit.Set(tx, capacity)
 	}
-	limits.Slots = capacity.Slots
+	// Only the requests that the last decision left waiting wait for the limit.
+	learned = learned.Advance(now, t.Occupancy.Get(tx).Queued)
+	if learned != t.LearnedLimit.Get(tx) {
+		t.LearnedLimit.Set(tx, learned)
+	}
+	sustained := learned.Slots(limits.Slots)
+	limits.Slots = min(capacity.Slots, sustained)
 	limits.Draining = t.Drain.Get(tx).Draining
 	limits.ServiceTimes = t.ServiceTimes.Get(tx)
 	for _, r := range admit.Decide(now, limits, active) {
@@ -49,16 +72,21 @@
 	}
 	load := admit.Occupancy(limits.Slots, active)
 	load.Failing = limits.ServiceTimes.FailurePercent()
+	load.Speeds = learned.Speeds(sustained)
 	if load != t.Occupancy.Get(tx) {
 		t.Occupancy.Set(tx, load)
 	}
+	if at := learned.NextDecisionAt(); !at.IsZero() && (growsAt.IsZero() || at.Before(growsAt)) {
+		growsAt = at
+	}
 	return controller.Result{RequeueAfter: nextCallDelay(now, growsAt, limits.ServiceTimes, active)}
 }
 
 // processFinished deletes the finished requests and returns the others. It
 // updates the service times from the finished ones, and reduces the capacity if
-// the backend server shed any of them.
-func processFinished(tx *blackboard.Tx, t *tables.Tables, now time.Time) (active []admit.Request) {
+// the backend server shed any of them. It passes completed those whose response
+// was passed on in full.
+func processFinished(tx *blackboard.Tx, t *tables.Tables, now time.Time, completed func(admit.Request)) (active []admit.Request) {
 	times := t.ServiceTimes.Get(tx)
 	capacity := t.SlotLimit.Get(tx)
 	t.Admissions.Each(tx, func(id string, r admit.Request) bool {
@@ -74,6 +102,7 @@
 			capacity = capacity.Decrease(now, t.Limits.Get(tx).Slots)
 		} else if r.ResponseComplete {
 			times = times.ObserveDuration(r.Class, now.Sub(r.Granted))
+			completed(r)
 		}
 		return true
 	})
@@ -94,7 +123,7 @@
 	}
 }
 
-// nextCallDelay returns the time until the capacity grows at growsAt, or until
+// nextCallDelay returns the time until the capacity can change at growsAt, or until
 // a waiting request can no longer finish before its deadline, whichever comes
 // first; zero when neither applies. The request is refused at that point, and
 // not at the deadline itself, so that its caller learns in time that it did not
--- a/controllers/admission/admission_test.go
+++ b/controllers/admission/admission_test.go
@@ -24,7 +24,7 @@
 	virtual := clock.NewVirtual(time0)
 	pool := controller.NewPool(virtual, 1)
 	board := tables.New(blackboard.New(blackboard.PanicOnNested()))
-	admission.Register(pool, board)
+	admission.Register(pool, board, admission.Config{})
 	admission.SetInitialLimits(board, time0, admit.Limits{Slots: 1, Queue: 2, PriorityOnly: true})
 	put := func(r admit.Request) {
 		board.Board.Do(func(tx *blackboard.Tx) { board.Admissions.Put(tx, r.ID, r) }, board.Admissions.Write())
--- a/controllers/report/report.go
+++ b/controllers/report/report.go
@@ -64,5 +64,19 @@
 		load := t.Occupancy.Get(tx)
 		g.Set("slots_busy", float64(load.Busy))
 		g.Set("requests_queued", float64(load.Queued))
-	}, t.Calls.Read(), t.Limits.Read(), t.Occupancy.Read())
+		learned := t.LearnedLimit.Get(tx)
+		if !learned.IsActive() {
+			return
+		}
+		g.Set("learned_limit", float64(learned.Slots(t.Limits.Get(tx).Slots)))
+		lowered, raised, tried := learned.Changes()
+		g.Set("learned_limit_lowered", float64(lowered))
+		g.Set("learned_limit_raised", float64(raised))
+		g.Set("learned_limit_trials", float64(tried))
+		for _, c := range mesh.Classes() {
+			if speed := load.Speeds[c.Index()]; speed > 0 {
+				g.Set("learned_speed_"+string(c), float64(speed)/1000)
+			}
+		}
+	}, t.Calls.Read(), t.Limits.Read(), t.LearnedLimit.Read(), t.Occupancy.Read())
 }
--- a/decide/admit/admit.go
+++ b/decide/admit/admit.go
@@ -55,6 +55,9 @@
 	State     State
 	// Granted is when the request got its slot; zero before.
 	Granted time.Time
+	// BusyAtGrant is the number of slots in use when the request got its slot,
+	// including its own; zero before.
+	BusyAtGrant int
 	// ResponseComplete is true on a finished request whose response was passed on
 	// in full.
 	ResponseComplete bool
@@ -146,6 +149,7 @@
 		d.busy[r.Class.Index()]++
 		r.State = Granted
 		r.Granted = d.now
+		r.BusyAtGrant = d.busySlots()
 		return r
 	case d.queued >= d.queueLimit(r.Class):
 		return refuse(r, d.queueFullReason(), d.estimateWait(r.Class))
@@ -206,13 +210,17 @@
 	return verdict.Shed
 }
 
-// hasSlot reports whether a slot is free for a request of the class.
-func (d *decision) hasSlot(c mesh.Class) bool {
-	total := 0
+// busySlots returns the number of slots in use.
+func (d *decision) busySlots() (total int) {
 	for _, n := range d.busy {
 		total += n
 	}
-	if total >= d.limits.Slots {
+	return total
+}
+
+// hasSlot reports whether a slot is free for a request of the class.
+func (d *decision) hasSlot(c mesh.Class) bool {
+	if d.busySlots() >= d.limits.Slots {
 		return false
 	}
 	if d.limits.PriorityOnly {
--- a/decide/choose/choose.go
+++ b/decide/choose/choose.go
@@ -99,10 +99,10 @@
 	if len(pool) == 0 {
 		return Candidate{}, false
 	}
-	typical := baseline{latency: medianLatency(q.Class, pool), load: meanLoad(q.Now, pool)}
+	typical := baseline{latency: medianLatency(q.Class, pool), load: meanLoad(q.Now, pool), speed: meanSpeed(q.Now, q.Class, pool)}
 	var best Candidate
 	lowest := -1.0
-	for _, c := range draw(q, pool) {
+	for _, c := range draw(q, pool, typical.speed) {
 		if price := cost(q, c, typical); lowest < 0 || price < lowest {
 			best, lowest = c, price
 		}
@@ -141,8 +141,8 @@
 }
 
 // draw returns up to two candidates of the node's own zone and up to two of the
-// other zones.
-func draw(q Query, pool []Candidate) []Candidate {
+// other zones. If speeds are reported, faster candidates are drawn more often.
+func draw(q Query, pool []Candidate, meanSpeed float64) []Candidate {
 	drawn := make([]Candidate, 0, 4)
 	ownZone := make([]Candidate, 0, len(pool))
 	otherZones := make([]Candidate, 0, len(pool))
@@ -153,6 +153,10 @@
 			otherZones = append(otherZones, c)
 		}
 	}
+	if meanSpeed > 0 {
+		drawn = drawTwoBySpeed(q, ownZone, drawn, meanSpeed)
+		return drawTwoBySpeed(q, otherZones, drawn, meanSpeed)
+	}
 	drawn = drawTwo(q.Random, ownZone, drawn)
 	return drawTwo(q.Random, otherZones, drawn)
 }
@@ -174,6 +178,7 @@
 type baseline struct {
 	latency float64 // nanoseconds
 	load    float64 // requests for each slot
+	speed   float64 // reported speed; zero when no candidate reported one
 }
 
 // cost estimates the time that a request takes at the candidate, in
@@ -181,6 +186,9 @@
 // of its zone.
 func cost(q Query, c Candidate, typical baseline) float64 {
 	latency := c.Stats.expectedLatency(q.Now, q.Class, typical.latency)
+	if learned := c.Stats.speedLatency(q.Now, q.Class, typical.speed); learned > 0 {
+		latency = learned
+	}
 	if silence := float64(q.Now.Sub(c.InFlight.LastEndedAt)); c.InFlight.Count > 0 && silence > silenceFactor*latency {
 		latency = silence
 	}
--- a/encoding/hop/hop.go
+++ b/encoding/hop/hop.go
@@ -36,7 +36,11 @@
 	// headerAccountPriority is absent for priority 0.
 	headerAccountPriority = prefix + "Account-Priority"
 	headerLoad            = prefix + "Load"
-	headerRetryAfter      = prefix + "Retry-After-Ms"
+	// headerSpeeds holds mesh.Load.Speeds. It is apart from headerLoad because a
+	// node of an earlier version rejects a load with more fields. It is absent
+	// without speeds.
+	headerSpeeds     = prefix + "Speeds"
+	headerRetryAfter = prefix + "Retry-After-Ms"
 	// headerRetriesExhausted marks a failure that was already retried by the node
 	// closest to it. It is passed up the call chain to suppress further retries.
 	headerRetriesExhausted = prefix + "Retries-Exhausted"
@@ -197,6 +201,9 @@
 func (r ResponseInfo) Write(h http.Header) {
 	h.Set(HeaderVerdict, r.Verdict.String())
 	h.Set(headerLoad, formatLoad(r.Load))
+	if r.Load.Speeds != [mesh.NumClasses]int{} {
+		h.Set(headerSpeeds, formatSpeeds(r.Load.Speeds))
+	}
 	if r.RetriesExhausted {
 		h.Set(headerRetriesExhausted, "1")
 	}
@@ -217,6 +224,7 @@
 		Load:             parseLoad(h.Get(headerLoad)),
 		RetriesExhausted: RetriesExhausted(h),
 	}
+	r.Load.Speeds = parseSpeeds(h.Get(headerSpeeds))
 	if millis, err := strconv.ParseInt(h.Get(headerRetryAfter), 10, 64); err == nil && millis > 0 {
 		r.RetryAfter = time.Duration(millis) * time.Millisecond
 	}
@@ -250,6 +258,35 @@
 	return mesh.Load{Slots: numbers[0], Busy: numbers[1], Queued: numbers[2], Failing: numbers[3]}
 }
 
+// formatSpeeds formats the speeds by class index, separated by slashes.
+func formatSpeeds(speeds [mesh.NumClasses]int) string {
+	text := make([]byte, 0, 8*len(speeds))
+	for i, speed := range speeds {
+		if i > 0 {
+			text = append(text, '/')
+		}
+		text = strconv.AppendInt(text, int64(speed), 10)
+	}
+	return string(text)
+}
+
+// parseSpeeds parses the result of formatSpeeds. A malformed text, and one of
+// another number of classes, reads as no speeds.
+func parseSpeeds(text string) (speeds [mesh.NumClasses]int) {
+	parts := strings.Split(text, "/")
+	if len(parts) != len(speeds) {
+		return speeds
+	}
+	for i, part := range parts {
+		number, err := strconv.Atoi(part)
+		if err != nil || number < 0 {
+			return [mesh.NumClasses]int{}
+		}
+		speeds[i] = number
+	}
+	return speeds
+}
+
 // RetriesExhausted reports whether a response is a failure that was already
 // retried downstream. Backend servers are allowed to pass the header on, since it
 // can only suppress retries.
--- a/mesh/member.go
+++ b/mesh/member.go
@@ -72,4 +72,8 @@
 	// Failing is the percentage of recent requests that the backend server
 	// failed or shed, 0 to 100.
 	Failing int
+	// Speeds is the number of requests of each class, by class index, that the
+	// backend server completes in 1,000 seconds while Slots requests run; zero
+	// where it is not known.
+	Speeds [NumClasses]int
 }
--- a/node/reload.go
+++ b/node/reload.go
@@ -37,6 +37,7 @@
 	if e := r.events.Line(logs.StateChange, partSettings); e != nil {
 		e.Float64("retry_ratio_was", old.RetryRatio).Float64("retry_ratio", updated.RetryRatio).
 			Float64("retry_extra_was", old.RetryExtra).Float64("retry_extra", updated.RetryExtra).
+			Bool("learned_limits_was", old.LearnedLimits).Bool("learned_limits", updated.LearnedLimits).
 			Bool("restart_needed", restartNeeded).Msg("settings taken")
 	}
 }
--- a/node/traffic.go
+++ b/node/traffic.go
@@ -34,7 +34,9 @@
 	if n.options.Adapter == nil {
 		admission.SetInitialLimits(t, n.options.Clock.Now(), admit.Limits{Slots: backend.Slots, Queue: *backend.Queue})
 	}
-	admission.Register(n.pool, t)
+	admission.Register(n.pool, t, admission.Config{
+		LearnsLimit: func() bool { return n.traffic.Load().LearnedLimits },
+	})
 	stop.Register(n.pool, t, n.options.Settings.Traffic.StopLimit())
 	config := calls.Config{
 		Zone:        n.self.Zone,
--- a/queuemodel/hol.go
+++ b/queuemodel/hol.go
@@ -19,10 +19,10 @@
 		longServiceTime  = 100 * shortServiceTime
 	)
 	baseTraffic := []Traffic{
-		{mesh.Booking, constantRate(300), shortServiceTime, 2 * time.Second},
-		{mesh.Lookup, constantRate(500), shortServiceTime, 2 * time.Second},
+		{mesh.Booking, constantRate(300), shortServiceTime, 2 * time.Second, 0},
+		{mesh.Lookup, constantRate(500), shortServiceTime, 2 * time.Second, 0},
 	}
-	uploads := Traffic{mesh.Upload, constantRate(14), longServiceTime, 60 * time.Second} // 28 of 54 slots
+	uploads := Traffic{mesh.Upload, constantRate(14), longServiceTime, 60 * time.Second, 0} // 28 of 54 slots
 	scenario := Scenario{
 		Seed: seed, Servers: 9, SlotsPerServer: 6, Zones: 4, Nodes: 9, OneWayDelay: time.Millisecond,
 		Duration: length, Traffic: baseTraffic,
--- a/queuemodel/node.go
+++ b/queuemodel/node.go
@@ -25,8 +25,9 @@
 type request struct {
 	call        call.Call
 	serviceTime time.Duration
-	jobs        []*job // one for each of the call's attempts, in the same order
-	started     int    // attempts that a server started
+	objective   time.Duration // since the arrival; zero for none
+	jobs        []*job        // one for each of the call's attempts, in the same order
+	started     int           // attempts that a server started
 	ended       bool
 }
 
@@ -56,7 +57,7 @@
 	callRequest := call.Request{
 		ID: strconv.Itoa(sim.requests), HostName: "h", Path: "/" + string(t.Class), Arrived: sim.now, BodyBuffered: true,
 	}
-	r := &request{serviceTime: serviceTime}
+	r := &request{serviceTime: serviceTime, objective: t.Objective}
 	n.apply(r, call.Begin(sim.now, callRequest, n.callInputs()))
 }
 
@@ -129,7 +130,7 @@
 		})
 	}
 	r.jobs = append(r.jobs, j)
-	index, _ := strconv.Atoi(target.Address)
+	index := serverIndex(target.Address)
 	sim.schedule(sim.scenario.OneWayDelay, func() {
 		if r.ended {
 			return
@@ -138,6 +139,9 @@
 			ID: r.call.Request.ID + "." + strconv.Itoa(attempt), Class: r.call.Rule.Class,
 			Arrived: sim.now, Deadline: r.call.Deadline, State: admit.Waiting,
 		}
+		if r.objective > 0 {
+			j.row.Objective = r.call.Request.Arrived.Add(r.objective)
+		}
 		sim.servers[index].enqueue(j)
 	})
 }
@@ -160,7 +164,9 @@
 	answered := c.Step.Kind == call.Answer
 	sim.results = append(sim.results, result{
 		class: c.Rule.Class, arrivedAt: c.Request.Arrived.Sub(epoch), latency: latency, answered: answered,
-		inTime: answered && !sim.now.After(c.Deadline),
+		inTime:      answered && !sim.now.After(c.Deadline),
+		inObjective: answered && (r.objective == 0 || latency <= r.objective),
+		refused:     c.Step.Kind == call.Refuse && c.Step.Refusal.Verdict == verdict.NotRun,
 	})
 	if c.Step.Kind == call.Refuse && c.Step.Refusal.Verdict == verdict.NotRun && r.started > 0 {
 		sim.falseRefusals++
@@ -169,7 +175,7 @@
 		if c.Attempts[i].Outcome != nil {
 			continue
 		}
-		index, _ := strconv.Atoi(c.Attempts[i].Target.Address)
+		index := serverIndex(c.Attempts[i].Target.Address)
 		sim.schedule(sim.scenario.OneWayDelay, func() {
 			if j.row.ID != "" {
 				sim.servers[index].end(j, false)
@@ -177,3 +183,9 @@
 		})
 	}
 }
+
+// serverIndex returns the index of the server with the address.
+func serverIndex(address string) int {
+	index, _ := strconv.Atoi(address)
+	return index
+}
--- a/queuemodel/overload.go
+++ b/queuemodel/overload.go
@@ -48,9 +48,9 @@
 		Seed: seed, Servers: 10, SlotsPerServer: 12, Zones: 3, Nodes: 13, OneWayDelay: 1500 * time.Microsecond,
 		Duration: overloadDuration,
 		Traffic: []Traffic{
-			{mesh.Booking, rateWithPeak(0.1, 0.5), meanServiceTime, time.Second},
-			{mesh.Lookup, rateWithPeak(0.3, 2), meanServiceTime, 500 * time.Millisecond},
-			{mesh.Background, rateWithPeak(0.1, 0.5), meanServiceTime, 2 * time.Second},
+			{mesh.Booking, rateWithPeak(0.1, 0.5), meanServiceTime, time.Second, 0},
+			{mesh.Lookup, rateWithPeak(0.3, 2), meanServiceTime, 500 * time.Millisecond, 0},
+			{mesh.Background, rateWithPeak(0.1, 0.5), meanServiceTime, 2 * time.Second, 0},
 		},
 	}
 }
--- a/queuemodel/server.go
+++ b/queuemodel/server.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/marigoldshelf/marigoldshelf/decide/admit"
+	"github.com/marigoldshelf/marigoldshelf/decide/limit"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/verdict"
 )
@@ -25,6 +26,8 @@
 	index        int
 	jobs         []*job // in order of arrival
 	serviceTimes admit.ServiceTimes
+	learned      limit.Learned
+	queued       int // requests that the last admission left waiting
 	loads        []loadSample
 	rowBuffer    []admit.Request // reused by rows
 }
@@ -48,7 +51,8 @@
 }
 
 func (s *server) currentLoad() mesh.Load {
-	load := mesh.Load{Slots: s.sim.scenario.SlotsPerServer}
+	load := mesh.Load{Slots: s.slots()}
+	load.Speeds = s.learned.Speeds(s.sim.scenario.SlotsPerServer)
 	for _, j := range s.jobs {
 		switch j.row.State {
 		case admit.Granted:
@@ -60,6 +64,9 @@
 	return load
 }
 
+// slots returns the limit in force.
+func (s *server) slots() int { return s.learned.Slots(s.sim.scenario.SlotsPerServer) }
+
 func (s *server) remove(j *job) {
 	s.jobs = slices.DeleteFunc(s.jobs, func(other *job) bool { return other == j })
 }
@@ -86,7 +93,10 @@
 // jobs and replies to the refused ones.
 func (s *server) applyAdmission() {
 	sim := s.sim
-	limits := admit.Limits{Slots: sim.scenario.SlotsPerServer, Queue: sim.scheme.QueueLimit, ServiceTimes: s.serviceTimes}
+	s.learned = s.learned.Advance(sim.now, s.queued)
+	limits := admit.Limits{
+		Slots: s.slots(), Queue: sim.scheme.QueueLimit, ServiceTimes: s.serviceTimes, PriorityOnly: sim.scenario.PriorityOnly,
+	}
 	for _, row := range sim.scheme.Admit(sim.now, limits, s.rows()) {
 		j := s.find(row.ID)
 		j.row = row
@@ -98,6 +108,7 @@
 		j.ended = true
 		j.reply(false, row.Reason, row.RetryAfter, s.reportedLoad())
 	}
+	s.queued = s.currentLoad().Queued
 	if sim.scheme.LoadReportDelay > 0 {
 		s.loads = append(s.loads, loadSample{sim.now, s.currentLoad()})
 	}
@@ -115,6 +126,9 @@
 	if sim.scenario.SlowFactor != nil {
 		slowdown = sim.scenario.SlowFactor(s.index, sim.now.Sub(epoch))
 	}
+	if sim.scenario.CrowdFactor != nil {
+		slowdown *= sim.scenario.CrowdFactor(s.index, j.row.BusyAtGrant)
+	}
 	sim.schedule(time.Duration(slowdown*float64(j.serviceTime)), func() { s.end(j, true) })
 }
 
@@ -128,6 +142,11 @@
 	s.remove(j)
 	if completed {
 		s.serviceTimes = s.serviceTimes.ObserveDuration(j.row.Class, s.sim.now.Sub(j.row.Granted))
+		if s.sim.scheme.LearnsLimit {
+			s.learned = s.learned.Observe(s.sim.now, s.sim.scenario.SlotsPerServer, limit.Sample{
+				Class: j.row.Class, Granted: j.row.Granted, Took: s.sim.now.Sub(j.row.Granted), Busy: j.row.BusyAtGrant,
+			})
+		}
 		j.reply(true, "", 0, s.reportedLoad())
 	}
 	s.applyAdmission()
--- a/queuemodel/simulation.go
+++ b/queuemodel/simulation.go
@@ -41,6 +41,8 @@
 	// LoadReportDelay is the age of the load that a response reports; zero for
 	// the current load.
 	LoadReportDelay time.Duration
+	// LearnsLimit enables the learned limit and the reported speeds.
+	LearnsLimit bool
 }
 
 // Traffic is a stream of requests of one class.
@@ -53,6 +55,8 @@
 	MeanServiceTime time.Duration
 	// Deadline is the time within which a request must be answered.
 	Deadline time.Duration
+	// Objective is the time within which a response is worth most; zero for none.
+	Objective time.Duration
 }
 
 // Scenario is the input of a run: the fleet and its traffic.
@@ -73,6 +77,12 @@
 	// SlowFactor returns the factor by which a server's service times are longer
 	// at a time since the start. Nil means that no server is slowed.
 	SlowFactor func(server int, at time.Duration) float64
+	// CrowdFactor returns the factor by which service times are longer when a
+	// request begins with the given number of busy slots, including its own. Nil
+	// means that they do not depend on it.
+	CrowdFactor func(server, busy int) float64
+	// PriorityOnly is the admission mode; see admit.Limits.
+	PriorityOnly bool
 }
 
 // event is a function to run at a virtual time. Events that are due at the same
@@ -128,6 +138,9 @@
 	latency   time.Duration
 	answered  bool
 	inTime    bool // answered within the deadline
+	// inObjective is true if the request was answered within its objective.
+	inObjective bool
+	refused     bool // as not run
 }
 
 // schedule runs a function after d of virtual time.
--- a/queuemodel/stragglers.go
+++ b/queuemodel/stragglers.go
@@ -34,8 +34,8 @@
 		Seed: seed, Servers: 10, SlotsPerServer: 12, Zones: 3, Nodes: 13, OneWayDelay: 1500 * time.Microsecond,
 		Duration: 30 * time.Second,
 		Traffic: []Traffic{
-			{mesh.Lookup, constantRate(2000), 20 * time.Millisecond, time.Second},
-			{mesh.Booking, constantRate(200), 20 * time.Millisecond, 2 * time.Second},
+			{mesh.Lookup, constantRate(2000), 20 * time.Millisecond, time.Second, 0},
+			{mesh.Booking, constantRate(200), 20 * time.Millisecond, 2 * time.Second, 0},
 		},
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -119,6 +119,10 @@
 	// StopWithin is the time from the stop signal to the kill of the process, at
 	// most 24 hours; zero if the process is not killed.
 	StopWithin Duration `json:"stop_within,omitzero"`
+	// LearnedLimits enables learning how many concurrent requests the node's own
+	// backend server sustains and how fast it is. Callers' nodes weight the
+	// backend servers by the speeds that their nodes report. Default false.
+	LearnedLimits bool `json:"learned_limits,omitempty"`
 }
 
 // BodyIdle returns the longest time between the bytes of a body.
--- a/tables/order.go
+++ b/tables/order.go
@@ -62,6 +62,7 @@
 	rankSlotLimit    blackboard.Rank = 515
 	rankAdmissions   blackboard.Rank = 520
 	rankServiceTimes blackboard.Rank = 530
+	rankLearnedLimit blackboard.Rank = 535
 	rankOccupancy    blackboard.Rank = 540
 
 	// Idempotency keys: 600 to 699.
--- a/tables/traffic.go
+++ b/tables/traffic.go
@@ -34,6 +34,9 @@
 	// ServiceTimes holds the service times and the failure ratio of admitted
 	// requests. Written by the controller admission.
 	ServiceTimes *blackboard.Cell[admit.ServiceTimes]
+	// LearnedLimit is the learned number of concurrent requests that the backend
+	// server sustains, and its speed. Written by the controller admission.
+	LearnedLimit *blackboard.Cell[limit.Learned]
 	// Occupancy is the load that responses report. Written at the start and by
 	// the controller admission.
 	Occupancy *blackboard.Cell[mesh.Load]
@@ -50,6 +53,7 @@
 		Limits:        blackboard.NewCell[admit.Limits](b, "limits", rankLimits),
 		SlotLimit:     blackboard.NewCell[limit.State](b, "capacity", rankSlotLimit),
 		ServiceTimes:  blackboard.NewCell[admit.ServiceTimes](b, "service_times", rankServiceTimes),
+		LearnedLimit:  blackboard.NewCell[limit.Learned](b, "learned_limit", rankLearnedLimit),
 		Occupancy:     blackboard.NewCell[mesh.Load](b, "occupancy", rankOccupancy),
 		PendingHedges: blackboard.NewTable[string, int](b, "hedges", rankPendingHedges),
 		Admissions:    blackboard.NewTable[string, admit.Request](b, "admissions", rankAdmissions),
