--- a/decide/choose/speed_test.go
+++ b/decide/choose/speed_test.go
@@ -26,11 +26,15 @@
 	return candidates
 }
 
-// The backend servers of the storefront of deployment A. Guards against a choice
+// The backend servers of the storefront of deployment A, about which the node has
+// reports but no latency of its own for the class. Guards against a choice
 // that gives a slow server as much as a fast one, and one that gives nearly
 // everything to the fastest.
 func TestFasterServersGetMoreAtEqualUtilisation(t *testing.T) {
 	candidates := bySpeed(true, 0.5, 1, 1, 1.5, 0.5, 1, 1, 1.5)
+	for i, c := range candidates {
+		candidates[i].Stats = choose.HostStats{}.ObserveResponse(start, mesh.Booking, 140*time.Millisecond, c.Stats.Load)
+	}
 	slow := share(candidates, func(c choose.Candidate) bool { return c.Host == "0" || c.Host == "4" })
 	fastest := share(candidates, func(c choose.Candidate) bool { return c.Host == "3" || c.Host == "7" })
 	t.Logf("shares: %.2f of the slow servers, %.2f of the fastest", slow, fastest)
--- a/decide/limit/learned_test.go
+++ b/decide/limit/learned_test.go
@@ -205,6 +205,21 @@
 	}
 }
 
+// From some time on, every request waits for a slow service behind, at any
+// concurrency. Guards against taking that for too many requests at this server.
+func TestSlowServiceBehindDoesNotLowerTheLimit(t *testing.T) {
+	l := load{slots: 9, gap: every(10 * time.Millisecond), class: bookings,
+		mean: func(at time.Duration, _ mesh.Class, _ int) time.Duration {
+			if at > 10*time.Second {
+				return 400 * time.Millisecond
+			}
+			return 100 * time.Millisecond
+		}}
+	for seed := range uint64(3) {
+		must.Greater(t, 8, l.meanLimit(seed, 10*time.Second, 40*time.Second))
+	}
+}
+
 // A cold start at full load: the first requests take several times as long.
 // Guards against a limit and speed that stay those of the start.
 func TestColdStartIsForgotten(t *testing.T) {
