--- a/controllers/calls/calls.go
+++ b/controllers/calls/calls.go
@@ -6,6 +6,7 @@
 package calls
 
 import (
+	"iter"
 	"math/rand/v2"
 	"time"
 
@@ -88,7 +89,7 @@
 	t := r.tables
 	t.Board.Do(func(tx *blackboard.Tx) { result = r.reconcileTx(tx, now, id) },
 		t.Routes.Read(), t.Rejected.Read(), t.Floor.Read(), t.Members.Read(), t.Endpoints.Read(), t.HostStats.Write(), t.InFlight.Write(), t.Services.Write(), t.RouteStates.Write(),
-		t.Calls.Write(), t.Drain.Read(), t.Admissions.Read(), t.PendingHedges.Write())
+		t.Calls.Write(), t.Drain.Read(), t.Limits.Read(), t.Admissions.Read(), t.PendingHedges.Write())
 	return result
 }
 
@@ -146,7 +147,8 @@
 			}
 			return &service
 		},
-		Running: func() []time.Time { return r.runningDeadlines(tx) },
+		Running:    r.running(tx),
+		RanksCalls: r.tables.Limits.Get(tx).PriorityOnly,
 		Route: func(id string) *call.RouteState {
 			routeID = id
 			route, _ = r.tables.RouteStates.Get(tx, id)
@@ -184,17 +186,14 @@
 	r.tables.RouteStates.Put(tx, id, state)
 }
 
-// runningDeadlines returns the deadlines of the requests that the own backend
-// server is running.
-func (r reconciler) runningDeadlines(tx *blackboard.Tx) []time.Time {
-	var deadlines []time.Time
-	r.tables.Admissions.Each(tx, func(_ string, row admit.Request) bool {
-		if row.State == admit.Granted {
-			deadlines = append(deadlines, row.Deadline)
-		}
-		return true
-	})
-	return deadlines
+// running returns the requests that the own backend server is running.
+func (r reconciler) running(tx *blackboard.Tx) iter.Seq[call.RunningRequest] {
+	return func(yield func(call.RunningRequest) bool) {
+		r.tables.Admissions.Each(tx, func(_ string, row admit.Request) bool {
+			return row.State != admit.Granted ||
+				yield(call.RunningRequest{Deadline: row.Deadline, AccountPriority: row.AccountPriority, Priority: row.Priority})
+		})
+	}
 }
 
 func (r reconciler) candidates(tx *blackboard.Tx, s mesh.ServiceName) []choose.Candidate {
--- a/decide/admit/admit.go
+++ b/decide/admit/admit.go
@@ -47,6 +47,9 @@
 	// Priority is the priority of the request's route; 0 is the highest.
 	// Without Limits.PriorityOnly, the class orders requests of equal priority.
 	Priority int
+	// Nested is true for a call that a backend server makes while it runs a
+	// request; the priorities are those of that request.
+	Nested   bool
 	Arrived  time.Time
 	Deadline time.Time
 	// Objective is the time after which the response is worth less to the
@@ -134,7 +137,8 @@
 }
 
 // decide returns the request granted, refused or still waiting, and counts it
-// into the pass.
+// into the pass. A call that would miss its objective waits all the same: its
+// parent holds a slot elsewhere, and fails if the call is refused.
 func (d *decision) decide(r Request) Request {
 	minServiceTime := d.limits.ServiceTimes.P10(r.Class)
 	switch {
@@ -149,11 +153,11 @@
 		return r
 	case d.queued >= d.queueLimit(r.Class):
 		return refuse(r, d.queueFullReason(), d.estimateWait(r.Class))
-	case d.limits.PriorityOnly && r.Class.Idempotent() && !d.meetsObjective(r, 0):
+	case d.limits.PriorityOnly && !r.Nested && r.Class.Idempotent() && !d.meetsObjective(r, 0):
 		// The refusal says nothing about requests that can still meet their
 		// objective, so it has no retry delay that would hold those back.
 		return refuse(r, verdict.Shed, 0)
-	case d.limits.PriorityOnly && r.Class.Idempotent() && !d.meetsObjective(r, d.estimateWait(r.Class)):
+	case d.limits.PriorityOnly && !r.Nested && r.Class.Idempotent() && !d.meetsObjective(r, d.estimateWait(r.Class)):
 		// Waiting would give the caller a late response and take the place of a
 		// request that can still meet its objective, so a retry is better.
 		return refuse(r, verdict.Shed, d.estimateWait(r.Class))
@@ -182,12 +186,19 @@
 	return r.Objective.IsZero() || d.now.Add(wait+d.limits.ServiceTimes.P80(r.Class)).Before(r.Objective)
 }
 
-// compareByObjective orders requests by priority, then requests that can still
+// compareByObjective orders requests by priority, then calls before other
+// requests, because their parents hold slots already, then requests that can still
 // meet their objective before the others, then by deadline, arrival and ID.
 func (d *decision) compareByObjective(a, b Request) int {
 	if order := cmp.Or(cmp.Compare(a.AccountPriority, b.AccountPriority), cmp.Compare(a.Priority, b.Priority)); order != 0 {
 		return order
 	}
+	if a.Nested != b.Nested {
+		if a.Nested {
+			return -1
+		}
+		return 1
+	}
 	if inTime := d.meetsObjective(a, 0); inTime != d.meetsObjective(b, 0) {
 		if inTime {
 			return -1
--- a/decide/call/call.go
+++ b/decide/call/call.go
@@ -5,6 +5,7 @@
 package call
 
 import (
+	"iter"
 	"math/rand/v2"
 	"time"
 
@@ -133,7 +134,10 @@
 	// Priority and MaxBackendAttempts are the route's.
 	Priority           int
 	MaxBackendAttempts int
-	Deadline           time.Time
+	// Nested is true for a call that the own backend server makes while it runs a
+	// request. Its priorities are then those of that request.
+	Nested   bool
+	Deadline time.Time
 	// Objective is the time after which the response is worth less to the
 	// caller, counted from the caller's first try; zero when the route sets no
 	// latency objective.
@@ -179,9 +183,11 @@
 	Service func(mesh.ServiceName) *ServiceState
 	// Route returns the state of a route, which decisions modify in place.
 	Route func(id string) *RouteState
-	// Running returns the deadlines of the requests that the own backend server is
-	// running.
-	Running func() []time.Time
+	// Running yields the requests that the own backend server is running.
+	Running iter.Seq[RunningRequest]
+	// RanksCalls is true where routes set priorities (admit.Limits.PriorityOnly),
+	// so that calls take over the rank of the run that makes them.
+	RanksCalls bool
 	// Pick is the load balancing policy.
 	Pick choose.Policy
 	// ResponseMargin is how long before the caller's own deadline the response
@@ -213,13 +219,17 @@
 	if !found {
 		return c.refuse(verdict.NotRun, verdict.NoRoute)
 	}
-	c = c.withRoute(matched, w)
+	c, parent := c.withRoute(matched, w)
 	if known := c.identify(w.Routes); !known && !matched.Public {
 		return c.refuse(verdict.NotRun, verdict.UnknownKey)
 	}
 	if matched.Unreadable != "" {
 		return c.refuse(verdict.NotRun, verdict.RouteUnreadable)
 	}
+	if parent != nil {
+		c.Nested = true
+		c.AccountPriority, c.Priority = parent.AccountPriority, parent.Priority
+	}
 	rule := c.Rule
 	c.Deadline = r.Arrived.Add(rule.Deadline())
 	if replyDue := r.Deadline.Add(-w.ResponseMargin); !r.Deadline.IsZero() && replyDue.Before(c.Deadline) {
@@ -255,8 +265,9 @@
 }
 
 // withRoute returns the call with the settings of its route and the version in
-// force.
-func (c Call) withRoute(r mesh.Route, w Environment) Call {
+// force. The parent is the run that makes the request; nil if it is not a call of
+// the own backend server.
+func (c Call) withRoute(r mesh.Route, w Environment) (with Call, parent *RunningRequest) {
 	c.Rule = r.Rule
 	if len(r.Split) > 0 {
 		c.Rule.Service = drawService(r.Split, w.Random)
@@ -264,22 +275,34 @@
 	c.Version = w.Routes.Version
 	c.Priority = r.Priority
 	c.MaxBackendAttempts = r.MaxBackendAttempts
+	waited := time.Duration(0)
+	if r.LatencyObjective > 0 || w.RanksCalls {
+		waited, parent = c.observeRoute(r.ID, w)
+	}
 	if r.LatencyObjective > 0 {
-		c.Objective = c.Request.Arrived.Add(r.LatencyObjective - c.waitedBefore(w.Route(r.ID), w.Running()))
+		c.Objective = c.Request.Arrived.Add(r.LatencyObjective - waited)
 	}
-	return c
+	return c, parent
 }
 
-// waitedBefore estimates how long the caller has waited for earlier tries, and
-// counts the request in the state of its route.
-func (c Call) waitedBefore(route *RouteState, running []time.Time) time.Duration {
+// observeRoute counts the request in the state of its route. It estimates how
+// long the caller has waited for earlier tries, and returns the run that makes
+// the request, or nil. Clients' requests carry keys where accounts exist, and
+// match a running request only by chance, so a request is taken for a call only
+// if it has no key and most requests of its route match one.
+func (c Call) observeRoute(id string, w Environment) (waited time.Duration, parent *RunningRequest) {
 	if c.Request.Deadline.IsZero() {
-		return 0
+		return 0, nil
 	}
+	parent = findParent(c.Request.Deadline, w.Running)
+	state := w.Route(id)
 	remaining := c.Request.Deadline.Sub(c.Request.Arrived)
-	waited := route.WaitedBefore(remaining)
-	*route = route.Observe(remaining, isDeadlineOf(c.Request.Deadline, running))
-	return waited
+	waited = state.WaitedBefore(remaining)
+	*state = state.Observe(remaining, parent != nil)
+	if !w.RanksCalls || !state.IsNested() || c.Request.Key != (mesh.KeyHash{}) {
+		parent = nil
+	}
+	return waited, parent
 }
 
 // missedObjective reports whether the latency objective has passed.
@@ -308,7 +331,9 @@
 }
 
 // firstAttempt adds the first attempt. While every host refuses the class, it
-// refuses the request at this node, so that no host spends work on a refusal.
+// refuses the request at this node, so that no host spends work on a refusal. A
+// call is sent all the same: its parent holds a slot and fails without it, and a
+// host that refuses others can still have room for the rank of the call.
 func (c Call) firstAttempt(now time.Time, w Environment) Call {
 	candidates := w.Candidates(c.Rule.Service)
 	open := make([]choose.Candidate, 0, len(candidates))
@@ -317,6 +342,9 @@
 			open = append(open, candidate)
 		}
 	}
+	if len(open) == 0 && c.Nested {
+		open = candidates
+	}
 	if len(open) == 0 && len(candidates) > 0 {
 		return c.giveUp(verdict.Shed, w)
 	}
--- a/decide/call/waited.go
+++ b/decide/call/waited.go
@@ -1,6 +1,10 @@
 package call
 
-import "time"
+import (
+	"cmp"
+	"iter"
+	"time"
+)
 
 const (
 	// firstTryRatio is the smallest deadline of a caller's first try, as a
@@ -41,14 +45,31 @@
 // backend server makes while it runs requests.
 func (s RouteState) IsNested() bool { return s.NestedRatio >= minNestedRatio }
 
-// isDeadlineOf reports whether one of the deadlines is that of a call.
-func isDeadlineOf(call time.Time, running []time.Time) bool {
-	for _, deadline := range running {
-		if call.Sub(deadline).Abs() <= nestedTolerance {
-			return true
+// RunningRequest is a request that the own backend server is running.
+type RunningRequest struct {
+	Deadline                  time.Time
+	AccountPriority, Priority int
+}
+
+// before reports whether the request has a higher rank than other.
+func (r RunningRequest) before(other RunningRequest) bool {
+	return cmp.Or(cmp.Compare(r.AccountPriority, other.AccountPriority), cmp.Compare(r.Priority, other.Priority)) < 0
+}
+
+// findParent returns the running request with the deadline of a call, or nil. Of
+// several it returns the one with the highest rank: a call must not fall behind
+// the work that waits for it.
+func findParent(call time.Time, running iter.Seq[RunningRequest]) (parent *RunningRequest) {
+	if running == nil {
+		return nil
+	}
+	for r := range running {
+		if call.Sub(r.Deadline).Abs() <= nestedTolerance && (parent == nil || r.before(*parent)) {
+			match := r // only a match is allocated
+			parent = &match
 		}
 	}
-	return false
+	return parent
 }
 
 // Observe returns the state after a request whose caller waits for remaining.
--- a/encoding/hop/hop.go
+++ b/encoding/hop/hop.go
@@ -35,6 +35,7 @@
 	headerAccount   = prefix + "Account"
 	// headerAccountPriority is absent for priority 0.
 	headerAccountPriority = prefix + "Account-Priority"
+	headerNested          = prefix + "Nested"
 	headerLoad            = prefix + "Load"
 	headerRetryAfter      = prefix + "Retry-After-Ms"
 	// headerRetriesExhausted marks a failure that was already retried by the node
@@ -76,6 +77,9 @@
 	// goes before Priority.
 	Account         mesh.AccountName
 	AccountPriority int
+	// Nested is true for a call that a backend server makes while it runs a
+	// request; the priorities are those of that request.
+	Nested bool
 }
 
 // IsForwarded reports whether an HTTP request was forwarded by a node.
@@ -107,6 +111,9 @@
 	if r.AccountPriority > 0 {
 		h.Set(headerAccountPriority, strconv.Itoa(r.AccountPriority))
 	}
+	if r.Nested {
+		h.Set(headerNested, "1")
+	}
 }
 
 // ReadRequest parses the headers that Write sets. It returns an error if one is
@@ -130,6 +137,7 @@
 		Origin:    mesh.ServiceName(h.Get(headerOrigin)),
 		CallerID:  h.Get(headerCallerID),
 		Account:   mesh.AccountName(h.Get(headerAccount)),
+		Nested:    h.Get(headerNested) != "",
 	}
 	if r.Priority, err = optionalInt(h, headerPriority); err != nil {
 		return Request{}, err
--- a/front/caller/attempt.go
+++ b/front/caller/attempt.go
@@ -170,6 +170,7 @@
 		CallerID:         c.Request.CallerID,
 		Account:          c.Account,
 		AccountPriority:  c.AccountPriority,
+		Nested:           c.Nested,
 	}.Write(request.Header)
 	return request, nil
 }
--- a/front/peer/handler.go
+++ b/front/peer/handler.go
@@ -148,7 +148,7 @@
 	now := h.Clock.Now()
 	row := admit.Request{
 		ID: r.AttemptID, Class: r.Class, Priority: r.Priority, Arrived: now, Deadline: now.Add(r.Timeout),
-		State: admit.Waiting, Account: r.Account, AccountPriority: r.AccountPriority,
+		State: admit.Waiting, Account: r.Account, AccountPriority: r.AccountPriority, Nested: r.Nested,
 	}
 	if r.LatencyObjective > 0 {
 		row.Objective = now.Add(r.LatencyObjective)
