--- a/controllers/admission/admission.go
+++ b/controllers/admission/admission.go
@@ -11,6 +11,7 @@
 	"github.com/marigoldshelf/marigoldshelf/controller"
 	"github.com/marigoldshelf/marigoldshelf/decide/admit"
 	"github.com/marigoldshelf/marigoldshelf/decide/limit"
+	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/tables"
 )
 
@@ -23,7 +24,7 @@
 	handle := controller.Register(p, "admission", func(now time.Time, _ int) (result controller.Result) {
 		t.Board.Do(func(tx *blackboard.Tx) { result = reconcile(tx, t, now) },
 			t.Drain.Read(), t.Limits.Read(), t.SlotLimit.Write(), t.Admissions.Write(),
-			t.ServiceTimes.Write(), t.Occupancy.Write())
+			t.AccountUsage.Write(), t.ServiceTimes.Write(), t.Occupancy.Write())
 		return result
 	})
 	t.Admissions.Watch(func(string) { handle.Add(singletonKey) })
@@ -43,8 +44,12 @@
 	limits.Slots = capacity.Slots
 	limits.Draining = t.Drain.Get(tx).Draining
 	limits.ServiceTimes = t.ServiceTimes.Get(tx)
+	limits.Usage = readUsage(tx, t, now, limits.PriorityOnly && len(active) > 0)
 	for _, r := range admit.Decide(now, limits, active) {
 		t.Admissions.Put(tx, r.ID, r)
+		if limits.PriorityOnly {
+			observeUsage(tx, t, now, r)
+		}
 		replaceRequest(active, r)
 	}
 	load := admit.Occupancy(limits.Slots, active)
@@ -52,7 +57,55 @@
 	if load != t.Occupancy.Get(tx) {
 		t.Occupancy.Set(tx, load)
 	}
-	return controller.Result{RequeueAfter: nextCallDelay(now, growsAt, limits.ServiceTimes, active)}
+	delay := nextCallDelay(now, growsAt, limits.ServiceTimes, active)
+	if delay == 0 && t.AccountUsage.Len(tx) > 0 {
+		delay = admit.UsageRetention // to delete the rows
+	}
+	return controller.Result{RequeueAfter: delay}
+}
+
+// maxAccountUsage bounds the rows of AccountUsage.
+const maxAccountUsage = 256
+
+// readUsage deletes the usage that has expired and returns the rest; nil for none
+// or if it is not needed.
+func readUsage(tx *blackboard.Tx, t *tables.Tables, now time.Time, needed bool) (usage *admit.AccountUsage) {
+	t.AccountUsage.Each(tx, func(name mesh.AccountName, u admit.Usage) bool {
+		switch {
+		case u.Expired(now):
+			t.AccountUsage.Delete(tx, name)
+		case needed:
+			if usage == nil {
+				usage = &admit.AccountUsage{}
+			}
+			usage.Add(now, name, u)
+		}
+		return true
+	})
+	return usage
+}
+
+// observeUsage counts a decision in the usage of the request's account. Requests
+// without an account are counted only beside accounts. At the bound, the account
+// with the oldest usage makes room.
+func observeUsage(tx *blackboard.Tx, t *tables.Tables, now time.Time, r admit.Request) {
+	rows := t.AccountUsage.Len(tx)
+	if r.Nested || r.Account == "" && rows == 0 {
+		return
+	}
+	u, found := t.AccountUsage.Get(tx, r.Account)
+	if !found && rows >= maxAccountUsage {
+		var oldest mesh.AccountName
+		var oldestAt time.Time
+		t.AccountUsage.Each(tx, func(name mesh.AccountName, other admit.Usage) bool {
+			if oldestAt.IsZero() || other.At.Before(oldestAt) {
+				oldest, oldestAt = name, other.At
+			}
+			return true
+		})
+		t.AccountUsage.Delete(tx, oldest)
+	}
+	t.AccountUsage.Put(tx, r.Account, u.Observe(now, r.State == admit.Granted))
 }
 
 // processFinished deletes the finished requests and returns the others. It
--- a/decide/admit/admit.go
+++ b/decide/admit/admit.go
@@ -86,6 +86,9 @@
 	// the requests, and of the classes only downloads have a share of the slots,
 	// beside other requests.
 	PriorityOnly bool
+	// Usage is how much capacity each account had lately; nil where no request
+	// has an account. It orders requests only with PriorityOnly.
+	Usage *AccountUsage
 	// ServiceTimes holds the observed service times.
 	ServiceTimes ServiceTimes
 }
@@ -114,6 +117,10 @@
 	}
 	if len(waiting) > 1 {
 		slices.SortFunc(waiting, compare)
+		if limits.PriorityOnly && limits.Usage != nil {
+			d.overShare = limits.Usage.overShare(requests, waiting)
+			slices.SortStableFunc(waiting, compare)
+		}
 	}
 	for _, r := range waiting {
 		if decided := d.decide(r); decided.State != Waiting {
@@ -131,9 +138,12 @@
 	// shortPresent is true if a request of another class than downloads runs or
 	// waits.
 	shortPresent bool
-	queued       int
-	queuedTime   time.Duration // sum of the mean service times of the queued requests
-	changed      []Request
+	// overShare holds by how much waiting requests exceed the share of their
+	// account, by ID; nil for none.
+	overShare  map[string]int
+	queued     int
+	queuedTime time.Duration // sum of the mean service times of the queued requests
+	changed    []Request
 }
 
 // decide returns the request granted, refused or still waiting, and counts it
@@ -188,7 +198,8 @@
 
 // compareByObjective orders requests by priority, then calls before other
 // requests, because their parents hold slots already, then requests that can still
-// meet their objective before the others, then by deadline, arrival and ID.
+// meet their objective before the others, then requests within the share of their
+// account, then by deadline, arrival and ID.
 func (d *decision) compareByObjective(a, b Request) int {
 	if order := cmp.Or(cmp.Compare(a.AccountPriority, b.AccountPriority), cmp.Compare(a.Priority, b.Priority)); order != 0 {
 		return order
@@ -205,7 +216,7 @@
 		}
 		return 1
 	}
-	return cmp.Or(a.Deadline.Compare(b.Deadline), a.Arrived.Compare(b.Arrived), cmp.Compare(a.ID, b.ID))
+	return cmp.Or(cmp.Compare(d.overShare[a.ID], d.overShare[b.ID]), a.Deadline.Compare(b.Deadline), a.Arrived.Compare(b.Arrived), cmp.Compare(a.ID, b.ID))
 }
 
 // queueFullReason returns QueueFull when the whole queue is full, and Shed when
--- a/tables/order.go
+++ b/tables/order.go
@@ -61,6 +61,7 @@
 	rankLimits       blackboard.Rank = 510
 	rankSlotLimit    blackboard.Rank = 515
 	rankAdmissions   blackboard.Rank = 520
+	rankAccountUsage blackboard.Rank = 525
 	rankServiceTimes blackboard.Rank = 530
 	rankOccupancy    blackboard.Rank = 540
 
--- a/tables/traffic.go
+++ b/tables/traffic.go
@@ -31,6 +31,10 @@
 	// The peers' front end adds rows and marks them finished; the controller
 	// admission grants, refuses and deletes.
 	Admissions *blackboard.Table[string, admit.Request]
+	// AccountUsage holds what each client account was granted and refused lately.
+	// Written by the controller admission, which deletes the rows of accounts
+	// without requests within seconds and bounds their number.
+	AccountUsage *blackboard.Table[mesh.AccountName, admit.Usage]
 	// ServiceTimes holds the service times and the failure ratio of admitted
 	// requests. Written by the controller admission.
 	ServiceTimes *blackboard.Cell[admit.ServiceTimes]
@@ -52,6 +56,7 @@
 		ServiceTimes:  blackboard.NewCell[admit.ServiceTimes](b, "service_times", rankServiceTimes),
 		Occupancy:     blackboard.NewCell[mesh.Load](b, "occupancy", rankOccupancy),
 		PendingHedges: blackboard.NewTable[string, int](b, "hedges", rankPendingHedges),
+		AccountUsage:  blackboard.NewTable[mesh.AccountName, admit.Usage](b, "account_usage", rankAccountUsage),
 		Admissions:    blackboard.NewTable[string, admit.Request](b, "admissions", rankAdmissions),
 	}
 }
