--- a/encoding/hop/pool.go
+++ b/encoding/hop/pool.go
@@ -70,6 +70,8 @@
 	writer    *bufio.Writer
 	idleSince time.Time
 	maxIdle   time.Duration
+	// interrupted makes interrupt take effect once.
+	interrupted sync.Once
 }
 
 // RoundTrip implements http.RoundTripper. The response body must be closed.
@@ -81,12 +83,13 @@
 	if trace := httptrace.ContextClientTrace(r.Context()); trace != nil && trace.GotConn != nil {
 		trace.GotConn(httptrace.GotConnInfo{Conn: c.countingConn, Reused: reused})
 	}
-	stop := context.AfterFunc(r.Context(), func() { _ = c.Close() })
+	stop := context.AfterFunc(r.Context(), c.interrupt)
+	tracker := releaseTrackerOf(r.Context())
 	written := c.write(r)
 	response, err := c.read(r, p.IsResponseTo)
 	if err != nil {
 		stop()
-		p.drop(c)
+		p.abandon(c, tracker)
 		if cause := context.Cause(r.Context()); cause != nil {
 			return nil, cause
 		}
@@ -95,7 +98,7 @@
 	c.maxIdle = maxIdleFrom(response.Header)
 	isAuthentic := p.IsAuthentic == nil || p.IsAuthentic(response, r)
 	response.Body = &poolBody{
-		ReadCloser: response.Body, pool: p, conn: c, stop: stop, written: written,
+		ReadCloser: response.Body, pool: p, conn: c, tracker: tracker, stop: stop, written: written,
 		keepAlive: isAuthentic && !response.Close && !r.Close, empty: response.ContentLength == 0 || response.Body == http.NoBody,
 	}
 	return response, nil
@@ -260,6 +263,7 @@
 	io.ReadCloser
 	pool      *Pool
 	conn      *poolConn
+	tracker   *ReleaseTracker
 	stop      func() bool // detaches the connection from the request's context
 	written   <-chan error
 	keepAlive bool // neither side requested to close the connection
@@ -294,6 +298,10 @@
 			b.pool.put(b.conn)
 			return
 		}
+		if !atEnd {
+			b.pool.abandon(b.conn, b.tracker)
+			return
+		}
 		b.pool.drop(b.conn)
 	})
 }
--- a/encoding/hop/transport.go
+++ b/encoding/hop/transport.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -64,6 +65,10 @@
 type countingConn struct {
 	net.Conn
 
+	// draining is true once all writes fail and the connection is only read until
+	// the other side closes it.
+	draining atomic.Bool
+
 	mu      sync.Mutex
 	written int64 // bytes
 	sealed  bool
@@ -88,11 +93,13 @@
 	return c.written
 }
 
-// seal closes the connection, prevents further writes and returns the final
-// number of bytes written.
+// seal closes the connection unless it is draining, prevents further writes and
+// returns the final number of bytes written.
 func (c *countingConn) seal() int64 {
-	// Closing first unblocks a Write that holds the lock.
-	_ = c.Conn.Close()
+	if !c.draining.Load() {
+		// Closing first unblocks a Write that holds the lock.
+		_ = c.Conn.Close()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sealed = true
--- a/front/peer/handler.go
+++ b/front/peer/handler.go
@@ -89,9 +89,10 @@
 		h.writeRefusal(w, verdict.New(verdict.MayHaveRun, verdict.BadRequest, nil), 0)
 		return
 	}
-	result := &requestResult{id: request.AttemptID}
+	tracked, tracker := hop.TrackRelease(r.Context())
+	result := &requestResult{id: request.AttemptID, tracker: tracker}
 	defer h.finishAdmission(result)
-	ctx, _, cancel := hop.WithDeadline(r.Context(), request.Timeout)
+	ctx, _, cancel := hop.WithDeadline(tracked, request.Timeout)
 	defer cancel()
 	row, err := h.awaitAdmission(ctx, request.AttemptID)
 	if err != nil {
@@ -140,6 +141,8 @@
 	id             string
 	complete, shed bool
 	failed         bool
+	// tracker tells when the backend server has dropped the request.
+	tracker *hop.ReleaseTracker
 }
 
 // addAdmission adds the request to the table Admissions. It returns false if the
@@ -164,8 +167,21 @@
 	return added
 }
 
-// finishAdmission marks the request as finished, so that its slot becomes free.
+// finishAdmission marks the request as finished, so that its slot becomes free. If
+// the backend server possibly still runs the request, it does so in the background
+// once that is over, and the caller gets its reply meanwhile.
 func (h *Handler) finishAdmission(result *requestResult) {
+	if !result.tracker.Pending() {
+		h.freeSlot(result)
+		return
+	}
+	go func() {
+		result.tracker.Wait()
+		h.freeSlot(result)
+	}()
+}
+
+func (h *Handler) freeSlot(result *requestResult) {
 	t := h.Tables
 	t.Board.Do(func(tx *blackboard.Tx) {
 		row, _ := t.Admissions.Get(tx, result.id)
