--- a/encoding/hop/pool.go
+++ b/encoding/hop/pool.go
@@ -83,8 +83,12 @@
 	if trace := httptrace.ContextClientTrace(r.Context()); trace != nil && trace.GotConn != nil {
 		trace.GotConn(httptrace.GotConnInfo{Conn: c.countingConn, Reused: reused})
 	}
-	stop := context.AfterFunc(r.Context(), c.interrupt)
 	tracker := releaseTrackerOf(r.Context())
+	end := c.interrupt
+	if tracker == nil {
+		end = func() { _ = c.Close() }
+	}
+	stop := context.AfterFunc(r.Context(), end)
 	written := c.write(r)
 	response, err := c.read(r, p.IsResponseTo)
 	if err != nil {
