--- a/decide/admit/admit.go
+++ b/decide/admit/admit.go
@@ -38,8 +38,10 @@
 
 // Request is one request at the admission point.
 type Request struct {
-	ID    string
-	Class mesh.Class
+	ID string
+	// CallerID is the caller's ID of the request; empty when absent.
+	CallerID string
+	Class    mesh.Class
 	// Account is the client account of the request; empty for none.
 	// AccountPriority, of which 0 is the highest, goes before Priority.
 	Account         mesh.AccountName
@@ -47,6 +49,9 @@
 	// Priority is the priority of the request's route; 0 is the highest.
 	// Without Limits.PriorityOnly, the class orders requests of equal priority.
 	Priority int
+	// Nested is true for a call that a backend server makes while it runs a
+	// request; the priorities are those of that request.
+	Nested   bool
 	Arrived  time.Time
 	Deadline time.Time
 	// Objective is the time after which the response is worth less to the
@@ -86,6 +91,9 @@
 	// the requests, and of the classes only downloads have a share of the slots,
 	// beside other requests.
 	PriorityOnly bool
+	// Usage is how much capacity each account had lately; nil where no request
+	// has an account. It orders requests only with PriorityOnly.
+	Usage *AccountUsage
 	// ServiceTimes holds the observed service times.
 	ServiceTimes ServiceTimes
 }
@@ -114,6 +122,10 @@
 	}
 	if len(waiting) > 1 {
 		slices.SortFunc(waiting, compare)
+		if limits.PriorityOnly && limits.Usage != nil {
+			d.overShare = limits.Usage.overShare(requests, waiting)
+			slices.SortStableFunc(waiting, compare)
+		}
 	}
 	for _, r := range waiting {
 		if decided := d.decide(r); decided.State != Waiting {
@@ -131,13 +143,17 @@
 	// shortPresent is true if a request of another class than downloads runs or
 	// waits.
 	shortPresent bool
-	queued       int
-	queuedTime   time.Duration // sum of the mean service times of the queued requests
-	changed      []Request
+	// overShare holds by how much waiting requests exceed the share of their
+	// account, by ID; nil for none.
+	overShare  map[string]int
+	queued     int
+	queuedTime time.Duration // sum of the mean service times of the queued requests
+	changed    []Request
 }
 
 // decide returns the request granted, refused or still waiting, and counts it
-// into the pass.
+// into the pass. A call that would miss its objective waits all the same: its
+// parent holds a slot elsewhere, and fails if the call is refused.
 func (d *decision) decide(r Request) Request {
 	minServiceTime := d.limits.ServiceTimes.P10(r.Class)
 	switch {
@@ -153,11 +169,11 @@
 		return r
 	case d.queued >= d.queueLimit(r.Class):
 		return refuse(r, d.queueFullReason(), d.estimateWait(r.Class))
-	case d.limits.PriorityOnly && r.Class.Idempotent() && !d.meetsObjective(r, 0):
+	case d.limits.PriorityOnly && !r.Nested && r.Class.Idempotent() && !d.meetsObjective(r, 0):
 		// The refusal says nothing about requests that can still meet their
 		// objective, so it has no retry delay that would hold those back.
 		return refuse(r, verdict.Shed, 0)
-	case d.limits.PriorityOnly && r.Class.Idempotent() && !d.meetsObjective(r, d.estimateWait(r.Class)):
+	case d.limits.PriorityOnly && !r.Nested && r.Class.Idempotent() && !d.meetsObjective(r, d.estimateWait(r.Class)):
 		// Waiting would give the caller a late response and take the place of a
 		// request that can still meet its objective, so a retry is better.
 		return refuse(r, verdict.Shed, d.estimateWait(r.Class))
@@ -186,19 +202,27 @@
 	return r.Objective.IsZero() || d.now.Add(wait+d.limits.ServiceTimes.P80(r.Class)).Before(r.Objective)
 }
 
-// compareByObjective orders requests by priority, then requests that can still
-// meet their objective before the others, then by deadline, arrival and ID.
+// compareByObjective orders requests by priority, then calls before other
+// requests, because their parents hold slots already, then requests that can still
+// meet their objective before the others, then requests within the share of their
+// account, then by deadline, arrival and ID.
 func (d *decision) compareByObjective(a, b Request) int {
 	if order := cmp.Or(cmp.Compare(a.AccountPriority, b.AccountPriority), cmp.Compare(a.Priority, b.Priority)); order != 0 {
 		return order
 	}
+	if a.Nested != b.Nested {
+		if a.Nested {
+			return -1
+		}
+		return 1
+	}
 	if inTime := d.meetsObjective(a, 0); inTime != d.meetsObjective(b, 0) {
 		if inTime {
 			return -1
 		}
 		return 1
 	}
-	return cmp.Or(a.Deadline.Compare(b.Deadline), a.Arrived.Compare(b.Arrived), cmp.Compare(a.ID, b.ID))
+	return cmp.Or(cmp.Compare(d.overShare[a.ID], d.overShare[b.ID]), a.Deadline.Compare(b.Deadline), a.Arrived.Compare(b.Arrived), cmp.Compare(a.ID, b.ID))
 }
 
 // queueFullReason returns QueueFull when the whole queue is full, and Shed when
--- a/encoding/hop/dialect.go
+++ b/encoding/hop/dialect.go
@@ -12,6 +12,9 @@
 type CallerRequest struct {
 	// ID is the caller's ID of the request; empty when absent.
 	ID string
+	// ParentID is the caller's ID of the request for which a backend server makes
+	// this one; empty for other requests and if the ID does not tell.
+	ParentID string
 	// Timeout is how long the caller waits; zero when absent.
 	Timeout time.Duration
 	// Key is the hash of the key of the caller's account; zero when absent.
--- a/encoding/hop/transport.go
+++ b/encoding/hop/transport.go
@@ -8,6 +8,7 @@
 	"net/http/httptrace"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -70,6 +71,10 @@
 type countingConn struct {
 	net.Conn
 
+	// draining is true once all writes fail and the connection is only read until
+	// the other side closes it.
+	draining atomic.Bool
+
 	mu      sync.Mutex
 	written int64 // bytes
 	sealed  bool
@@ -142,11 +147,13 @@
 	return c.written
 }
 
-// seal closes the connection, prevents further writes and returns the final
-// number of bytes written.
+// seal closes the connection unless it is draining, prevents further writes and
+// returns the final number of bytes written.
 func (c *countingConn) seal() int64 {
-	// Closing first unblocks a Write that holds the lock.
-	_ = c.Conn.Close()
+	if !c.draining.Load() {
+		// Closing first unblocks a Write that holds the lock.
+		_ = c.Conn.Close()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sealed = true
