--- /dev/null
+++ b/decide/quota/duty.go
@@ -0,0 +1,143 @@
+package quota
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/marigoldshelf/marigoldshelf/decide/distribution"
+	"github.com/marigoldshelf/marigoldshelf/decide/membership"
+	"github.com/marigoldshelf/marigoldshelf/mesh"
+)
+
+const (
+	// settleTime is how long a node must have been a confirmed member, with a
+	// table that agrees with a peer's and no further zone found, before it grants
+	// tokens. A node that knows too few zones would grant too large a part of the
+	// quota, and the granting node that it replaces has to learn of it first.
+	settleTime = 2 * time.Second
+	// soleSettleTime is the same for a node that knows no other node. When all
+	// processes start together, each of them can take itself for the only one
+	// until the announcements of the others arrive.
+	soleSettleTime = 5 * time.Second
+	// takeoverTime is how long after the end of an account's granting node its
+	// successor starts to grant, so that all nodes have learned of the end.
+	takeoverTime = time.Second
+)
+
+// Duty is what a node knows for its work as a granting node, and of the other
+// granting nodes. It is a value.
+type Duty struct {
+	Self mesh.Member
+	// Live holds the members by zone that can be granting nodes, this node
+	// included.
+	Live map[mesh.Zone][]mesh.Member
+	// Zones is the number of zones with known members, also with members that are
+	// gone, so that it does not shrink when a zone is cut off.
+	Zones int
+	// Nodes is the number of known members.
+	Nodes int
+	// EndedAt is when hosts of the own zone stopped being live.
+	EndedAt map[mesh.HostID]time.Time
+	// EligibleAt is when this node can start to grant tokens; zero while it is not
+	// an established member.
+	EligibleAt time.Time
+	// confirmedUntil is the end of the last known confirmation by a peer.
+	confirmedUntil time.Time
+}
+
+// Update returns the duty after a change of the membership. A gap between two
+// confirmations begins a new settleTime.
+func (d Duty) Update(now time.Time, self membership.Self, members []mesh.Member) Duty {
+	next := Duty{
+		Self: self.Member, Nodes: len(members), Live: make(map[mesh.Zone][]mesh.Member),
+		EndedAt: maps.Clone(d.EndedAt), confirmedUntil: self.ConfirmedUntil,
+	}
+	if next.EndedAt == nil {
+		next.EndedAt = make(map[mesh.HostID]time.Time)
+	}
+	zones := make(map[mesh.Zone]bool)
+	for _, m := range members {
+		zones[m.Zone] = true
+		if m.State == mesh.Alive || m.State == mesh.Suspect {
+			next.Live[m.Zone] = append(next.Live[m.Zone], m)
+		}
+	}
+	next.Zones = len(zones)
+	next.updateEnded(now, d)
+	next.EligibleAt = d.eligibleAt(now, self, next.Zones)
+	return next
+}
+
+func (d *Duty) updateEnded(now time.Time, before Duty) {
+	live := make(map[mesh.HostID]bool)
+	for _, m := range d.Live[d.Self.Zone] {
+		live[m.Host] = true
+		delete(d.EndedAt, m.Host)
+	}
+	for _, m := range before.Live[d.Self.Zone] {
+		if !live[m.Host] {
+			d.EndedAt[m.Host] = now
+		}
+	}
+	maps.DeleteFunc(d.EndedAt, func(_ mesh.HostID, at time.Time) bool { return now.Sub(at) > time.Hour })
+}
+
+// eligibleAt returns EligibleAt after a change; d is the duty before it.
+func (d Duty) eligibleAt(now time.Time, self membership.Self, zones int) time.Time {
+	sole := self.Status == membership.SoleMember
+	if !self.Confirmed(now) || !sole && !(self.Joined && self.TableSynced) {
+		return time.Time{}
+	}
+	settle := settleTime
+	if sole {
+		settle = soleSettleTime
+	}
+	gap := !sole && now.After(d.confirmedUntil)
+	settling := now.Before(d.EligibleAt)
+	if d.EligibleAt.IsZero() || gap || settling && zones != d.Zones {
+		return now.Add(settle)
+	}
+	return d.EligibleAt
+}
+
+// established reports whether this node knows enough of the fleet to create tokens.
+func (d Duty) established(now time.Time) bool {
+	return !d.EligibleAt.IsZero() && !now.Before(d.EligibleAt)
+}
+
+// GrantsSince returns since when this node is the account's granting node in its
+// zone; false if it is not, or not yet.
+func (d Duty) GrantsSince(now time.Time, a mesh.AccountName) (since time.Time, grants bool) {
+	if !d.established(now) || !slices.ContainsFunc(d.Live[d.Self.Zone], func(m mesh.Member) bool { return m.Host == d.Self.Host }) {
+		return time.Time{}, false
+	}
+	since = d.EligibleAt
+	candidates := append([]mesh.Member(nil), d.Live[d.Self.Zone]...)
+	for host := range d.EndedAt {
+		candidates = append(candidates, mesh.Member{Host: host})
+	}
+	for _, m := range distribution.RendezvousOrder(string(a), candidates) {
+		if m.Host == d.Self.Host {
+			return since, !now.Before(since)
+		}
+		ended, gone := d.EndedAt[m.Host]
+		if !gone {
+			return time.Time{}, false
+		}
+		if from := ended.Add(takeoverTime); from.After(since) {
+			since = from
+		}
+	}
+	return time.Time{}, false
+}
+
+// Granter returns the account's granting node in a zone, as far as this node
+// knows.
+func (d Duty) Granter(z mesh.Zone, a mesh.AccountName) (mesh.Member, bool) {
+	live := d.Live[z]
+	if len(live) == 0 {
+		return mesh.Member{}, false
+	}
+	return distribution.RendezvousOrder(string(a), live)[0], true
+}
