--- a/tables/order.go
+++ b/tables/order.go
@@ -2,8 +2,8 @@
 // its controllers share, each with its rank in the lock order.
 //
 // The groups, in lock order: configuration (changes, routes, submissions),
-// distribution of the configuration, membership, endpoints and load, requests
-// at this node, the admission point, idempotency keys, the outboxes and inboxes
+// distribution of the configuration, membership, endpoints and load, quotas of
+// client accounts, requests at this node, the admission point, idempotency keys, the outboxes and inboxes
 // of the I/O workers, and last the log lines.
 //
 // The doc comment of a table names the code that writes it. Any code can read
@@ -37,7 +37,7 @@
 	rankSnapshotCatalog blackboard.Rank = 168
 	rankSnapshotWrite   blackboard.Rank = 170
 
-	// Fleet: 200 to 299 membership, 300 to 399 endpoints and their load.
+	// Fleet: 200 to 299 membership, 300 to 349 endpoints and their load.
 	rankMembers          blackboard.Rank = 200
 	rankPeers            blackboard.Rank = 210
 	rankZones            blackboard.Rank = 220
@@ -54,6 +54,12 @@
 	rankServices         blackboard.Rank = 330
 	rankRouteStates      blackboard.Rank = 340
 
+	// Quotas of client accounts: 350 to 399.
+	rankQuotaDuty     blackboard.Rank = 350
+	rankLeases        blackboard.Rank = 360
+	rankLeaseRequests blackboard.Rank = 370
+	rankBuckets       blackboard.Rank = 380
+
 	// Traffic: 400 to 499 callers' requests, 500 to 599 the admission point.
 	rankCalls        blackboard.Rank = 400
 	rankBackend      blackboard.Rank = 490
@@ -82,9 +88,13 @@
 	rankMessageCount  blackboard.Rank = 942
 	rankMessagesOut   blackboard.Rank = 944
 	rankMessagesIn    blackboard.Rank = 946
-	rankKeyMessages   blackboard.Rank = 960
-	rankKeyReplies    blackboard.Rank = 970
-	rankPendingHedges blackboard.Rank = 975
+	// Messages to and from granting nodes: 947 to 949.
+	rankQuotaMessagesOut  blackboard.Rank = 947
+	rankQuotaMessagesIn   blackboard.Rank = 948
+	rankQuotaMessageCount blackboard.Rank = 949
+	rankKeyMessages       blackboard.Rank = 960
+	rankKeyReplies        blackboard.Rank = 970
+	rankPendingHedges     blackboard.Rank = 975
 	// Outboxes and inboxes of the node's own backend server and of approved
 	// configuration: 976 to 979.
 	rankRegistrations       blackboard.Rank = 976
@@ -119,6 +129,7 @@
 	NodeLog
 	Backend
 	Approved
+	Quota
 }
 
 // New adds the tables of a node to board b, all empty, and returns them.
@@ -135,5 +146,6 @@
 		NodeLog:      newNodeLog(b),
 		Backend:      newBackend(b),
 		Approved:     newApproved(b),
+		Quota:        newQuota(b),
 	}
 }
