--- a/controllers/calls/calls.go
+++ b/controllers/calls/calls.go
@@ -2,7 +2,8 @@
 // received them. It decides the next step of each request in the table Calls
 // (attempt, retry, hedge, response or refusal), and maintains what this node
 // measures of hosts and services in the tables HostStats, InFlight and
-// Services.
+// Services. A call of an account with a quota takes a token from the account's
+// lease before its first attempt is chosen.
 package calls
 
 import (
@@ -14,6 +15,7 @@
 	"github.com/marigoldshelf/marigoldshelf/decide/admit"
 	"github.com/marigoldshelf/marigoldshelf/decide/call"
 	"github.com/marigoldshelf/marigoldshelf/decide/choose"
+	"github.com/marigoldshelf/marigoldshelf/decide/quota"
 	"github.com/marigoldshelf/marigoldshelf/decide/retry"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/tables"
@@ -86,12 +88,66 @@
 
 func (r reconciler) reconcile(now time.Time, id string) (result controller.Result) {
 	t := r.tables
-	t.Board.Do(func(tx *blackboard.Tx) { result = r.reconcileTx(tx, now, id) },
-		t.Routes.Read(), t.Rejected.Read(), t.Floor.Read(), t.Members.Read(), t.Endpoints.Read(), t.HostStats.Write(), t.InFlight.Write(), t.Services.Write(), t.RouteStates.Write(),
-		t.Calls.Write(), t.Drain.Read(), t.Admissions.Read(), t.PendingHedges.Write())
+	step := func() (before, after call.Token, account mesh.AccountName) {
+		t.Board.Do(func(tx *blackboard.Tx) {
+			c, _ := t.Calls.Get(tx, id)
+			before = c.Token
+			result = r.reconcileTx(tx, now, id)
+			c, _ = t.Calls.Get(tx, id)
+			after, account = c.Token, c.Account
+		},
+			t.Routes.Read(), t.Rejected.Read(), t.Floor.Read(), t.Members.Read(), t.Endpoints.Read(), t.HostStats.Write(), t.InFlight.Write(), t.Services.Write(), t.RouteStates.Write(),
+			t.Calls.Write(), t.Drain.Read(), t.Admissions.Read(), t.PendingHedges.Write())
+		return before, after, account
+	}
+	before, after, account := step()
+	if before.State == call.NoToken && after.State == call.TokenNeeded && r.takeToken(now, id) {
+		before, after, account = step()
+	}
+	if before.State != call.TokenReturned && after.Returns() {
+		r.returnToken(now, account, after)
+	}
 	return result
 }
 
+// takeToken takes a token from the lease of the call's account, or adds the call to
+// those that wait for one. It reports whether the call's token is decided.
+func (r reconciler) takeToken(now time.Time, id string) (decided bool) {
+	t := r.tables
+	t.Board.Do(func(tx *blackboard.Tx) {
+		c, found := t.Calls.Get(tx, id)
+		if !found || c.Token.State != call.TokenNeeded {
+			return
+		}
+		account, _ := t.Routes.Get(tx).Account(c.Account)
+		lease, _ := t.Leases.Get(tx, c.Account)
+		lease, decision := lease.Take(now, account, t.QuotaDuty.Get(tx))
+		t.Leases.Put(tx, c.Account, lease)
+		if decision.Outcome == quota.Waiting {
+			request, _ := t.LeaseRequests.Get(tx, c.Account)
+			if request, added := request.Add(id); added {
+				t.LeaseRequests.Put(tx, c.Account, request)
+				return
+			}
+			decision.Outcome = quota.Unavailable
+		}
+		t.Calls.Put(tx, id, c.WithToken(decision))
+		decided = true
+	}, t.Routes.Read(), t.QuotaDuty.Read(), t.Leases.Write(), t.LeaseRequests.Write(), t.Calls.Write())
+	return decided
+}
+
+// returnToken puts the token of a call that was refused without having run back
+// into the lease of its account.
+func (r reconciler) returnToken(now time.Time, account mesh.AccountName, token call.Token) {
+	t := r.tables
+	t.Board.Do(func(tx *blackboard.Tx) {
+		if lease, found := t.Leases.Get(tx, account); found {
+			t.Leases.Put(tx, account, lease.Return(now, token.Decision.Expires))
+		}
+	}, t.Leases.Write())
+}
+
 // reconcileTx records the outcomes of the attempts, decides the next step, and
 // schedules the next call for when time alone requires a decision. It deletes a
 // call that the front end has marked as ended.
@@ -154,7 +210,7 @@
 		},
 	}
 	next := c
-	if c.Step.Number == 0 {
+	if c.Step.Number == 0 && c.Token.State == call.NoToken {
 		next = call.Begin(now, c.Request, inputs)
 	} else {
 		next = call.Continue(now, c, inputs)
@@ -237,9 +293,9 @@
 }
 
 // needsWrite reports whether the row has to be written: the step, a timer or
-// the record of an outcome has changed.
+// the record of an outcome, or the state of the token has changed.
 func needsWrite(before, after call.Call) bool {
-	if before.Step.Number != after.Step.Number || !before.RetryAt.Equal(after.RetryAt) || !before.HedgeAt.Equal(after.HedgeAt) {
+	if before.Token.State != after.Token.State || before.Step.Number != after.Step.Number || !before.RetryAt.Equal(after.RetryAt) || !before.HedgeAt.Equal(after.HedgeAt) {
 		return true
 	}
 	for i := range before.Attempts {
--- a/controllers/report/report.go
+++ b/controllers/report/report.go
@@ -30,6 +30,7 @@
 		setConfigGauges(t, g)
 		setMemberGauges(t, g)
 		setTrafficGauges(t, g)
+		setQuotaGauges(t, g)
 		return controller.Result{RequeueAfter: interval}
 	})
 	handle.Add(singletonKey)
@@ -66,3 +67,10 @@
 		g.Set("requests_queued", float64(load.Queued))
 	}, t.Calls.Read(), t.Limits.Read(), t.Occupancy.Read())
 }
+
+func setQuotaGauges(t *tables.Tables, g Gauges) {
+	t.Board.Do(func(tx *blackboard.Tx) {
+		g.Set("quota_buckets", float64(t.Buckets.Len(tx)))
+		g.Set("quota_leases", float64(t.Leases.Len(tx)))
+	}, t.Buckets.Read(), t.Leases.Read())
+}
--- a/decide/call/call.go
+++ b/decide/call/call.go
@@ -130,6 +130,8 @@
 	// RemovesAccount is true if the configuration has client accounts, so that
 	// what a caller states about its account is not passed on.
 	RemovesAccount bool
+	// Token is the call's token of the account's quota.
+	Token Token
 	// Priority and MaxBackendAttempts are the route's.
 	Priority           int
 	MaxBackendAttempts int
@@ -198,7 +200,9 @@
 }
 
 // Begin routes a new request and decides its first step. The request keeps the
-// configuration version that it was routed by until its end.
+// configuration version that it was routed by until its end. The call of an
+// account with a quota has no step yet, but waits for a token; see
+// Token.State.
 func Begin(now time.Time, r Request, w Environment) Call {
 	c := Call{Request: r}
 	switch {
@@ -214,7 +218,8 @@
 		return c.refuse(verdict.NotRun, verdict.NoRoute)
 	}
 	c = c.withRoute(matched, w)
-	if known := c.identify(w.Routes); !known && !matched.Public {
+	account, known := c.identify(w.Routes)
+	if !known && !matched.Public {
 		return c.refuse(verdict.NotRun, verdict.UnknownKey)
 	}
 	if matched.Unreadable != "" {
@@ -231,7 +236,15 @@
 	if !now.Before(c.Deadline) {
 		return c.refuse(verdict.NotRun, verdict.DeadlineExceeded)
 	}
-	service := w.Service(rule.Service)
+	if waiting, needed := c.needsToken(account); needed {
+		return waiting
+	}
+	return c.start(now, w)
+}
+
+// start counts the call at its service and decides its first attempt.
+func (c Call) start(now time.Time, w Environment) Call {
+	service := w.Service(c.Rule.Service)
 	service.RetryBudget = service.RetryBudget.Deposit(w.RetryPolicy)
 	if c.canHedge() {
 		service.HedgeState = service.HedgeState.Deposit()
@@ -244,14 +257,14 @@
 
 // identify sets the client account of the request. It returns false if the
 // configuration has accounts and the request has no key of one.
-func (c *Call) identify(routes *route.Table) (known bool) {
+func (c *Call) identify(routes *route.Table) (account mesh.Account, known bool) {
 	if !routes.HasAccounts() {
-		return true
+		return mesh.Account{}, true
 	}
 	c.RemovesAccount = true
-	account, known := routes.AccountOf(c.Request.Key)
+	account, known = routes.AccountOf(c.Request.Key)
 	c.Account, c.AccountPriority = account.Name, account.Priority
-	return known
+	return account, known
 }
 
 // withRoute returns the call with the settings of its route and the version in
--- a/decide/call/continue.go
+++ b/decide/call/continue.go
@@ -13,11 +13,20 @@
 const defaultRetryAfter = 250 * time.Millisecond
 
 // Continue decides the next step from the outcomes of the attempts and the
-// time. It returns the call unchanged when nothing is due.
+// time, or the first step of a call whose token has been decided. It returns the
+// call unchanged when nothing is due.
 func Continue(now time.Time, c Call, w Environment) Call {
+	if c.Step.Number == 0 && c.Token.State == TokenDecided {
+		return c.resume(now, w).returnToken()
+	}
 	if c.Final() || len(c.Attempts) == 0 {
 		return c
 	}
+	return c.next(now, w).returnToken()
+}
+
+// next decides the next step of a call that has attempts.
+func (c Call) next(now time.Time, w Environment) Call {
 	if winner, found := c.winningAttempt(); found {
 		w.Service(c.Rule.Service).recordCapacity(true)
 		return c.withStep(Step{Kind: Answer, Attempt: winner})
--- a/front/probe/probe.go
+++ b/front/probe/probe.go
@@ -1,6 +1,7 @@
-// Package probe sends and receives the UDP datagrams of the membership protocol.
-// It sends the messages of the outbox MessagesOut and puts received messages into
-// the inbox MessagesIn. It makes no decisions.
+// Package probe sends and receives the UDP datagrams of the membership protocol,
+// and on the same socket those about quotas. It sends the messages of the outboxes
+// MessagesOut and QuotaMessagesOut and puts received messages into the inboxes
+// MessagesIn and QuotaMessagesIn. It makes no decisions.
 package probe
 
 import (
@@ -14,6 +15,7 @@
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/controller"
 	"github.com/marigoldshelf/marigoldshelf/decide/membership"
+	"github.com/marigoldshelf/marigoldshelf/decide/quota"
 	"github.com/marigoldshelf/marigoldshelf/encoding/probe"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/tables"
@@ -80,6 +82,20 @@
 		return controller.Result{}
 	})
 	t.MessagesOut.Watch(handle.Add)
+	quotas := controller.Register(pool, "send quota datagram", func(_ time.Time, number uint64) controller.Result {
+		var envelope quota.Envelope
+		found := false
+		t.Board.Do(func(tx *blackboard.Tx) {
+			envelope, found = t.QuotaMessagesOut.Get(tx, number)
+			t.QuotaMessagesOut.Delete(tx, number)
+		}, t.QuotaMessagesOut.Write())
+		if found {
+			data, err := tr.Codec.EncodeQuota(envelope.Message)
+			tr.sendDatagram(envelope.Address, data, err)
+		}
+		return controller.Result{}
+	})
+	t.QuotaMessagesOut.Watch(quotas.Add)
 }
 
 func (tr Transport) send(e membership.Envelope) {
@@ -87,11 +103,16 @@
 		e.Message.ConfigVersion = tr.ConfigVersion()
 	}
 	data, err := tr.Codec.Encode(e.Message)
-	if err != nil {
+	tr.sendDatagram(e.Address, data, err)
+}
+
+// sendDatagram sends an encoded message unless encoding it has failed.
+func (tr Transport) sendDatagram(to string, data []byte, encodeError error) {
+	if encodeError != nil {
 		tr.Count(EventNotSent, 0)
 		return
 	}
-	address, err := netip.ParseAddrPort(e.Address)
+	address, err := netip.ParseAddrPort(to)
 	if err != nil {
 		tr.Count(EventNotSent, 0)
 		return
@@ -139,8 +160,12 @@
 	}
 }
 
-// putReceived decodes a datagram and puts its message into the inbox.
+// putReceived decodes a datagram and puts its message into the inbox of its kind.
 func (tr Transport) putReceived(number uint64, data []byte, from string) {
+	if probe.IsQuota(data) {
+		tr.putQuota(number, data, from)
+		return
+	}
 	message, err := tr.Codec.Decode(data)
 	if err != nil {
 		tr.countDecodeError(err, len(data))
@@ -159,6 +184,25 @@
 	}
 }
 
+func (tr Transport) putQuota(number uint64, data []byte, from string) {
+	message, err := tr.Codec.DecodeQuota(data)
+	if err != nil {
+		tr.countDecodeError(err, len(data))
+		return
+	}
+	tr.Count(EventReceived, len(data))
+	full := false
+	t := tr.Tables
+	t.Board.Do(func(tx *blackboard.Tx) {
+		if full = t.QuotaMessagesIn.Len(tx) >= maxInboxMessages; !full {
+			t.QuotaMessagesIn.Put(tx, number, quota.Envelope{Address: from, Message: message})
+		}
+	}, t.QuotaMessagesIn.Write())
+	if full {
+		tr.Count(EventInboxFull, len(data))
+	}
+}
+
 func (tr Transport) countDecodeError(err error, length int) {
 	if eris.Is(err, probe.ErrNotAuthentic) {
 		tr.Count(EventNotAuthentic, length)
--- a/node/traffic.go
+++ b/node/traffic.go
@@ -7,6 +7,7 @@
 
 	"github.com/marigoldshelf/marigoldshelf/controllers/admission"
 	"github.com/marigoldshelf/marigoldshelf/controllers/calls"
+	"github.com/marigoldshelf/marigoldshelf/controllers/quota"
 	"github.com/marigoldshelf/marigoldshelf/controllers/stop"
 	"github.com/marigoldshelf/marigoldshelf/decide/admit"
 	"github.com/marigoldshelf/marigoldshelf/decide/call"
@@ -46,6 +47,10 @@
 		config.ResponseMargin = responseMargin
 	}
 	calls.Register(n.pool, t, config)
+	quota.Register(n.pool, t, quota.Config{
+		Random: rand.New(rand.NewPCG(n.options.Seed+1, uint64(n.self.Incarnation))),
+		Add:    n.options.Metrics.Add,
+	})
 }
 
 // responseMargin is how long before the caller's deadline a response is due. It
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -55,6 +55,7 @@
 	NoRoute               Reason = "no_route"           // no rule matches host name and path
 	UnknownKey            Reason = "unknown_key"        // the request has no key of a client account
 	OverQuota             Reason = "over_quota"         // the client account has used up its quota
+	QuotaUnavailable      Reason = "quota_unavailable"  // no node that grants tokens of the account's quota answered
 	NoBackend             Reason = "no_backend"         // no live backend server for the service
 	Draining              Reason = "draining"           // the backend server or the node is draining
 	QueueFull             Reason = "queue_full"         // the admission queue is at its limit
