--- a/controllers/quota/quota.go
+++ b/controllers/quota/quota.go
@@ -68,12 +68,21 @@
 func (r reconciler) updateDuty(now time.Time, _ int) controller.Result {
 	r.Board.Do(func(tx *blackboard.Tx) {
 		members := make([]mesh.Member, 0, r.Members.Len(tx))
+		known := make(map[string]bool, r.Members.Len(tx))
 		r.Members.Each(tx, func(_ mesh.HostID, m mesh.Member) bool {
 			members = append(members, m)
+			known[m.ProbeAddress] = true
 			return true
 		})
-		r.QuotaDuty.Set(tx, r.QuotaDuty.Get(tx).Update(now, r.Self.Get(tx), members))
-	}, r.Members.Read(), r.Self.Read(), r.QuotaDuty.Write())
+		unknown := 0
+		r.JoinAddresses.Each(tx, func(address string, _ uint64) bool {
+			if !known[address] {
+				unknown++
+			}
+			return true
+		})
+		r.QuotaDuty.Set(tx, r.QuotaDuty.Get(tx).Update(now, r.Self.Get(tx), members, unknown))
+	}, r.Members.Read(), r.Self.Read(), r.JoinAddresses.Read(), r.QuotaDuty.Write())
 	return controller.Result{}
 }
 
--- a/decide/quota/duty.go
+++ b/decide/quota/duty.go
@@ -16,10 +16,11 @@
 	// tokens. A node that knows too few zones would grant too large a part of the
 	// quota, and the granting node that it replaces has to learn of it first.
 	settleTime = 2 * time.Second
-	// soleSettleTime is the same for a node that knows no other node. When all
-	// processes start together, each of them can take itself for the only one
-	// until the announcements of the others arrive.
-	soleSettleTime = 5 * time.Second
+	// longSettleTime is the same for a node that knows no other node, and the
+	// longest for one that does not know all announced nodes, of which some may be
+	// gone. When all processes start together, parts of the fleet find each other
+	// one after the other.
+	longSettleTime = 5 * time.Second
 	// takeoverTime is how long after the end of an account's granting node its
 	// successor starts to grant, so that all nodes have learned of the end.
 	takeoverTime = time.Second
@@ -42,13 +43,16 @@
 	// EligibleAt is when this node can start to grant tokens; zero while it is not
 	// an established member.
 	EligibleAt time.Time
+	// EstablishedAt is since when the node is an established member.
+	EstablishedAt time.Time
 	// confirmedUntil is the end of the last known confirmation by a peer.
 	confirmedUntil time.Time
 }
 
-// Update returns the duty after a change of the membership. A gap between two
+// Update returns the duty after a change of the membership; unknown is the number
+// of announced nodes that are not among the members. A gap between two
 // confirmations begins a new settleTime.
-func (d Duty) Update(now time.Time, self membership.Self, members []mesh.Member) Duty {
+func (d Duty) Update(now time.Time, self membership.Self, members []mesh.Member, unknown int) Duty {
 	next := Duty{
 		Self: self.Member, Nodes: len(members), Live: make(map[mesh.Zone][]mesh.Member),
 		EndedAt: maps.Clone(d.EndedAt), confirmedUntil: self.ConfirmedUntil,
@@ -65,7 +69,7 @@
 	}
 	next.Zones = len(zones)
 	next.updateEnded(now, d)
-	next.EligibleAt = d.eligibleAt(now, self, next.Zones)
+	next.EstablishedAt, next.EligibleAt = d.eligible(now, self, next.Zones, unknown)
 	return next
 }
 
@@ -83,22 +87,38 @@
 	maps.DeleteFunc(d.EndedAt, func(_ mesh.HostID, at time.Time) bool { return now.Sub(at) > time.Hour })
 }
 
-// eligibleAt returns EligibleAt after a change; d is the duty before it.
-func (d Duty) eligibleAt(now time.Time, self membership.Self, zones int) time.Time {
+// eligible returns EstablishedAt and EligibleAt after a change; d is the duty before
+// it.
+func (d Duty) eligible(now time.Time, self membership.Self, zones, unknown int) (establishedAt, eligibleAt time.Time) {
 	sole := self.Status == membership.SoleMember
 	if !self.Confirmed(now) || !sole && !(self.Joined && self.TableSynced) {
-		return time.Time{}
-	}
-	settle := settleTime
-	if sole {
-		settle = soleSettleTime
+		return time.Time{}, time.Time{}
 	}
 	gap := !sole && now.After(d.confirmedUntil)
-	settling := now.Before(d.EligibleAt)
-	if d.EligibleAt.IsZero() || gap || settling && zones != d.Zones {
-		return now.Add(settle)
+	switch settling := now.Before(d.EligibleAt); {
+	case d.EligibleAt.IsZero() || gap:
+		settle := settleTime
+		if sole {
+			settle = longSettleTime
+		}
+		return now, now.Add(settle)
+	case settling && zones != d.Zones:
+		return d.EstablishedAt, latest(d.EligibleAt, now.Add(settleTime))
+	case settling && unknown > 0:
+		until := now.Add(settleTime)
+		if limit := d.EstablishedAt.Add(longSettleTime); until.After(limit) {
+			until = limit
+		}
+		return d.EstablishedAt, latest(d.EligibleAt, until)
+	}
+	return d.EstablishedAt, d.EligibleAt
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return d.EligibleAt
+	return b
 }
 
 // established reports whether this node knows enough of the fleet to create tokens.
--- a/decide/quota/quota_test.go
+++ b/decide/quota/quota_test.go
@@ -185,14 +185,14 @@
 		answer, _, _ := d.Grant(at, self, account, quota.Bucket{}, quota.Message{Kind: quota.Ask, Account: "x", Count: 5})
 		return answer.Count
 	}
-	d := quota.Duty{}.Update(epoch, self, members)
+	d := quota.Duty{}.Update(epoch, self, members, 0)
 	must.Zero(t, granted(d, self, epoch.Add(time.Minute)), must.Sprint("not joined"))
 	self.Joined, self.TableSynced, self.Status, self.ConfirmedUntil = true, true, membership.Confirmed, epoch.Add(10*time.Second)
-	d = d.Update(epoch, self, members)
+	d = d.Update(epoch, self, members, 0)
 	must.Zero(t, granted(d, self, epoch.Add(time.Second)), must.Sprint("not settled"))
 	must.Eq(t, 5, granted(d, self, epoch.Add(4*time.Second)))
 	must.Zero(t, granted(d, self, epoch.Add(11*time.Second)), must.Sprint("confirmation lapsed"))
-	left := d.Update(epoch.Add(5*time.Second), self, []mesh.Member{{Host: "a", Zone: "z", State: mesh.Leaving}})
+	left := d.Update(epoch.Add(5*time.Second), self, []mesh.Member{{Host: "a", Zone: "z", State: mesh.Leaving}}, 0)
 	must.Zero(t, granted(left, self, epoch.Add(8*time.Second)), must.Sprint("leaving"))
 }
 
--- a/decide/quota/simulation_test.go
+++ b/decide/quota/simulation_test.go
@@ -214,7 +214,7 @@
 			members = append(members, m)
 		}
 	}
-	n.duty = n.duty.Update(s.now, n.self, members)
+	n.duty = n.duty.Update(s.now, n.self, members, 0)
 }
 
 // request sends one request of an account to a node.
