--- /dev/null
+++ b/test/process/uncontrolled.go
@@ -0,0 +1,140 @@
+package process
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/marigoldshelf/marigoldshelf/platform/standin"
+)
+
+// StoreNode is a node process with platform.kind "store". The store and the
+// backend server run in the test.
+type StoreNode struct {
+	Callers, Reports, Readiness string
+	Backend                     *standin.Backend
+	command                     *exec.Cmd
+	exited                      chan struct{} // closed when the process has ended
+}
+
+// StartStoreNode starts a node from the given program whose configuration routes
+// everything to one backend server with many slots. clientSettings is the object
+// "clients" of the settings; nil omits it.
+func StartStoreNode(t *testing.T, program string, serviceTime time.Duration, clientSettings map[string]any) *StoreNode {
+	t.Helper()
+	const service = "desk"
+	store := standin.NewStore()
+	must.NoError(t, store.Publish(3, standin.RouteTo(service, "/", "lookup")))
+	storeServer := httptest.NewServer(store)
+	t.Cleanup(storeServer.CloseClientConnections)
+	backendServer := httptest.NewUnstartedServer(nil)
+	address := backendServer.Listener.Addr().String()
+	n := &StoreNode{
+		Callers: freeAddress(t), Reports: freeAddress(t), Readiness: freeAddress(t), exited: make(chan struct{}),
+		Backend: standin.NewBackend("i-1", service, address, "fes", 400, serviceTime),
+	}
+	backendServer.Config.Handler = n.Backend
+	backendServer.Start()
+	t.Cleanup(backendServer.CloseClientConnections)
+	s := map[string]any{
+		"host": "fes-1", "zone": "fes",
+		"listen": map[string]string{
+			"callers": n.Callers, "peers": freeAddress(t), "operators": freeAddress(t),
+			"reports": n.Reports, "readiness": n.Readiness,
+		},
+		"backend":  map[string]any{"service": service, "address": address},
+		"platform": map[string]string{"kind": "store", "url": storeServer.URL},
+	}
+	if clientSettings != nil {
+		s["clients"] = clientSettings
+	}
+	data, err := json.Marshal(s)
+	must.NoError(t, err)
+	file := filepath.Join(t.TempDir(), "settings.json")
+	must.NoError(t, os.WriteFile(file, data, 0o600))
+	n.command = exec.Command(program, file)
+	n.command.Stderr = os.Stderr
+	must.NoError(t, n.command.Start())
+	go func() {
+		_ = n.command.Wait() // Alive reports the end
+		close(n.exited)
+	}()
+	stop := make(chan struct{})
+	var reports sync.WaitGroup
+	reports.Go(func() { n.sendReports(stop) })
+	t.Cleanup(func() {
+		close(stop)
+		reports.Wait()
+		_ = n.command.Process.Kill()
+		<-n.exited
+	})
+	return n
+}
+
+func (n *StoreNode) sendReports(stop <-chan struct{}) {
+	client := &http.Client{Timeout: time.Second}
+	for {
+		n.Backend.Report(context.Background(), client, n.Reports)
+		select {
+		case <-stop:
+			return
+		case <-time.After(300 * time.Millisecond):
+		}
+	}
+}
+
+// Alive reports whether the process runs.
+func (n *StoreNode) Alive() bool {
+	select {
+	case <-n.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// PeakMemory returns the largest resident memory that the process has had, in
+// bytes.
+func (n *StoreNode) PeakMemory(t *testing.T) int {
+	t.Helper()
+	data, err := os.ReadFile("/proc/" + strconv.Itoa(n.command.Process.Pid) + "/status")
+	must.NoError(t, err)
+	for line := range strings.Lines(string(data)) {
+		if fields := strings.Fields(line); len(fields) == 3 && fields[0] == "VmHWM:" {
+			kilobytes, err := strconv.Atoi(fields[1])
+			must.NoError(t, err)
+			return kilobytes << 10
+		}
+	}
+	t.Fatal("the status of the process has no VmHWM: it has ended")
+	return 0
+}
+
+// Descriptors returns the number of open descriptors of the process.
+func (n *StoreNode) Descriptors(t *testing.T) int {
+	t.Helper()
+	entries, err := os.ReadDir("/proc/" + strconv.Itoa(n.command.Process.Pid) + "/fd")
+	must.NoError(t, err)
+	return len(entries)
+}
+
+// freeAddress returns a loopback address whose TCP and UDP ports are free.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
