--- a/controllers/clients/clients.go
+++ b/controllers/clients/clients.go
@@ -1,6 +1,7 @@
 // Package clients is the controller that closes client connections when clients
-// hold too much of the node's memory. It reads ClientLoad and marks rows of
-// ClientHoldings; front/clientload closes the marked connections.
+// hold too much of the node's memory. It reads ClientLoad, marks rows of
+// ClientHoldings and adds them to ClientCloses, the outbox from which
+// front/clientload closes connections.
 package clients
 
 import (
@@ -18,7 +19,7 @@
 // Register adds the controller to the pool.
 func Register(p *controller.Pool, t *tables.Tables, limits clientload.Limits) {
 	handle := controller.Register(p, "clients", func(time.Time, int) controller.Result {
-		t.Board.Do(func(tx *blackboard.Tx) { reconcile(tx, t, limits) }, t.ClientHoldings.Write(), t.ClientLoad.Write())
+		t.Board.Do(func(tx *blackboard.Tx) { reconcile(tx, t, limits) }, t.ClientHoldings.Write(), t.ClientLoad.Write(), t.ClientCloses.Write())
 		return controller.Result{}
 	})
 	t.ClientLoad.Watch(func() { handle.Add(singletonKey) })
@@ -30,14 +31,21 @@
 		return
 	}
 	for _, id := range limits.SelectLargest(Entries(tx, t)) {
-		h, _ := t.ClientHoldings.Get(tx, id)
-		h.Closing = true
-		t.ClientHoldings.Put(tx, id, h)
+		MarkClosing(tx, t, id)
 	}
 	load.Relieved = load.Refusals
 	t.ClientLoad.Set(tx, load)
 }
 
+// MarkClosing marks a connection to be closed. The transaction writes
+// ClientHoldings and ClientCloses.
+func MarkClosing(tx *blackboard.Tx, t *tables.Tables, id uint64) {
+	h, _ := t.ClientHoldings.Get(tx, id)
+	h.Closing = true
+	t.ClientHoldings.Put(tx, id, h)
+	t.ClientCloses.Put(tx, id, struct{}{})
+}
+
 // Entries returns the rows of ClientHoldings in key order.
 func Entries(tx *blackboard.Tx, t *tables.Tables) []clientload.Entry {
 	var entries []clientload.Entry
--- /dev/null
+++ b/decide/clientload/clientload_test.go
@@ -0,0 +1,71 @@
+package clientload_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/marigoldshelf/marigoldshelf/decide/clientload"
+)
+
+var limits = clientload.Limits{TotalBytes: 32 << 20, ConnectionBytes: 8 << 20}
+
+// TestIncreaseKeepsReserveForSmallHolders guards against large holders that take
+// the memory of ordinary callers.
+func TestIncreaseKeepsReserveForSmallHolders(t *testing.T) {
+	load := clientload.Load{Bytes: 24 << 20, Connections: 100}
+	large := clientload.Holding{Bytes: 4 << 20}
+	decision, next := limits.Increase(load, large, 64<<10)
+	must.Eq(t, clientload.NodeFull, decision)
+	must.Eq(t, load, next, must.Sprint("a refused large holder changes nothing"))
+
+	decision, next = limits.Increase(load, clientload.Holding{Bytes: 64 << 10}, 64<<10)
+	must.Eq(t, clientload.Granted, decision)
+	must.Eq(t, load.Bytes+64<<10, next.Bytes)
+
+	load.Bytes = limits.TotalBytes
+	decision, next = limits.Increase(load, clientload.Holding{}, 64<<10)
+	must.Eq(t, clientload.NodeFull, decision)
+	must.Eq(t, 1, next.Refusals, must.Sprint("a refused small holder asks for relief"))
+
+	decision, _ = limits.Increase(clientload.Load{}, clientload.Holding{Bytes: 8 << 20}, 1)
+	must.Eq(t, clientload.ConnectionFull, decision)
+}
+
+// TestSelectLargest guards against closing ordinary callers before large holders,
+// and against closing more than needed.
+func TestSelectLargest(t *testing.T) {
+	now := time.Unix(0, 0)
+	entries := []clientload.Entry{
+		{ID: 1, Holding: clientload.Holding{Bytes: 64 << 10, Since: now}},
+		{ID: 2, Holding: clientload.Holding{Bytes: 8 << 20, Since: now.Add(time.Second)}},
+		{ID: 3, Holding: clientload.Holding{Bytes: 8 << 20, Since: now}},
+		{ID: 4, Holding: clientload.Holding{Bytes: 8 << 20, Closing: true}},
+		{ID: 5, Holding: clientload.Holding{Bytes: 8 << 20, Since: now.Add(2 * time.Second)}},
+		{ID: 6, Holding: clientload.Holding{Bytes: 7 << 20, Since: now}},
+	}
+	must.Eq(t, []uint64{3}, limits.SelectLargest(entries))
+	must.SliceEmpty(t, limits.SelectLargest(entries[:3]))
+}
+
+// TestSelectForNew guards against silent connections that lock callers out.
+func TestSelectForNew(t *testing.T) {
+	now := time.Unix(0, 0)
+	entries := []clientload.Entry{
+		{ID: 1, Holding: clientload.Holding{Listener: "callers", Served: true, Since: now}},
+		{ID: 2, Holding: clientload.Holding{Listener: "callers", Since: now.Add(2)}},
+		{ID: 3, Holding: clientload.Holding{Listener: "callers", Since: now.Add(1)}},
+		{ID: 4, Holding: clientload.Holding{Listener: "reports", Since: now}},
+	}
+	_, found, accept := clientload.SelectForNew(entries, "callers", 4)
+	must.False(t, found)
+	must.True(t, accept)
+	victim, found, accept := clientload.SelectForNew(entries, "callers", 3)
+	must.True(t, found)
+	must.True(t, accept)
+	must.Eq(t, 3, victim)
+	_, found, accept = clientload.SelectForNew(entries[:1], "callers", 1)
+	must.False(t, found)
+	must.False(t, accept)
+}
--- a/front/clientload/clientload.go
+++ b/front/clientload/clientload.go
@@ -1,14 +1,16 @@
 // Package clientload accounts for the memory that client connections hold, in the
-// table ClientHoldings, and closes the connections that are marked there. The
+// table ClientHoldings, and closes the connections of the outbox ClientCloses. The
 // decisions are in decide/clientload.
 package clientload
 
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/clock"
+	"github.com/marigoldshelf/marigoldshelf/controller"
 	"github.com/marigoldshelf/marigoldshelf/controllers/clients"
 	decide "github.com/marigoldshelf/marigoldshelf/decide/clientload"
 	"github.com/marigoldshelf/marigoldshelf/tables"
@@ -42,28 +44,27 @@
 	accounts sync.Map // uint64 -> *Account
 }
 
-// New returns a ledger that watches ClientHoldings. It is called before the node
-// runs.
-func New(t *tables.Tables, c clock.Clock, limits decide.Limits, count func(verdict.Reason)) *Ledger {
+// New returns a ledger that closes connections on the workers of pool. It is
+// called before the pool runs.
+func New(pool *controller.Pool, t *tables.Tables, c clock.Clock, limits decide.Limits, count func(verdict.Reason)) *Ledger {
 	l := &Ledger{Tables: t, Clock: c, Limits: limits, Count: count}
-	t.ClientHoldings.Watch(l.closeIfMarked)
+	handle := controller.Register(pool, "close client connections", func(_ time.Time, id uint64) controller.Result {
+		l.close(id)
+		return controller.Result{}
+	})
+	t.ClientCloses.Watch(handle.Add)
 	return l
 }
 
-// closeIfMarked closes a connection whose row is marked.
-func (l *Ledger) closeIfMarked(id uint64) {
+// close closes a connection of ClientCloses.
+func (l *Ledger) close(id uint64) {
+	t := l.Tables
+	t.Board.Do(func(tx *blackboard.Tx) { t.ClientCloses.Delete(tx, id) }, t.ClientCloses.Write())
 	value, exists := l.accounts.Load(id)
 	if !exists {
-		return
+		return // it has ended
 	}
-	t := l.Tables
-	var marked bool
-	t.Board.Do(func(tx *blackboard.Tx) {
-		h, _ := t.ClientHoldings.Get(tx, id)
-		marked = h.Closing
-	}, t.ClientHoldings.Read())
-	a := value.(*Account)
-	if marked && a.closing.CompareAndSwap(false, true) {
+	if a := value.(*Account); a.closing.CompareAndSwap(false, true) {
 		l.Count(ReasonClosed)
 		a.closeConn()
 	}
@@ -87,33 +88,45 @@
 // connections. closeConn closes the connection and must not block. Open returns
 // false if the connection is refused.
 func (l *Ledger) Open(listener string, limit int, closeConn func()) (*Account, bool) {
-	a := &Account{ledger: l, id: l.lastID.Add(1), closeConn: closeConn, held: decide.ConnectionBytes, reserved: reserveBytes}
+	return l.open(listener, limit, closeConn, decide.ConnectionBytes, reserveBytes)
+}
+
+// OpenUncharged opens the account of a connection that counts against limit only,
+// because its memory is charged elsewhere.
+func (l *Ledger) OpenUncharged(listener string, limit int, closeConn func()) (*Account, bool) {
+	return l.open(listener, limit, closeConn, 0, 0)
+}
+
+func (l *Ledger) open(listener string, limit int, closeConn func(), held, reserved int64) (*Account, bool) {
+	a := &Account{ledger: l, id: l.lastID.Add(1), closeConn: closeConn, held: held, reserved: reserved}
 	reason := verdict.Reason("")
 	l.accounts.Store(a.id, a)
 	t := l.Tables
 	t.Board.Do(func(tx *blackboard.Tx) {
 		load := t.ClientLoad.Get(tx)
-		victim, found, accepted := decide.SelectForNew(clients.Entries(tx, t), listener, limit)
+		var victim uint64
+		found, accepted := false, true
+		if load.Connections >= limit { // else the listener has fewer than limit
+			victim, found, accepted = decide.SelectForNew(clients.Entries(tx, t), listener, limit)
+		}
 		if found {
-			h, _ := t.ClientHoldings.Get(tx, victim)
-			h.Closing = true
-			t.ClientHoldings.Put(tx, victim, h)
+			clients.MarkClosing(tx, t, victim)
 		}
 		if !accepted {
 			reason = ReasonConnections
 			return
 		}
 		row := decide.Holding{Listener: listener, Since: l.Clock.Now()}
-		decision, load := l.Limits.Increase(load, row, reserveBytes)
+		decision, load := l.Limits.Increase(load, row, reserved)
 		if decision == decide.Granted {
-			row.Bytes = reserveBytes
+			row.Bytes = reserved
 			load.Connections++
 			t.ClientHoldings.Put(tx, a.id, row)
 		} else {
 			reason = ReasonNodeFull
 		}
 		t.ClientLoad.Set(tx, load)
-	}, t.ClientHoldings.Write(), t.ClientLoad.Write())
+	}, t.ClientHoldings.Write(), t.ClientLoad.Write(), t.ClientCloses.Write())
 	if reason != "" {
 		l.accounts.Delete(a.id)
 		l.Count(reason)
--- /dev/null
+++ b/front/clientload/clientload_test.go
@@ -0,0 +1,46 @@
+package clientload_test
+
+import (
+	"sync"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/marigoldshelf/marigoldshelf/blackboard"
+	"github.com/marigoldshelf/marigoldshelf/clock"
+	"github.com/marigoldshelf/marigoldshelf/controller"
+	decide "github.com/marigoldshelf/marigoldshelf/decide/clientload"
+	"github.com/marigoldshelf/marigoldshelf/front/clientload"
+	"github.com/marigoldshelf/marigoldshelf/tables"
+	"github.com/marigoldshelf/marigoldshelf/verdict"
+)
+
+// TestEverythingIsReturned charges and releases on many connections at once. It
+// guards against memory that stays charged after its connection has ended.
+func TestEverythingIsReturned(t *testing.T) {
+	board := tables.New(blackboard.New(blackboard.PanicOnNested()))
+	limits := decide.Limits{TotalBytes: 4 << 20, ConnectionBytes: 1 << 20}
+	ledger := clientload.New(controller.NewPool(clock.System{}, 1), board, clock.System{}, limits, func(verdict.Reason) {})
+	var group sync.WaitGroup
+	for i := range 40 {
+		group.Go(func() {
+			account, accepted := ledger.Open("callers", 30, func() {})
+			if !accepted {
+				return
+			}
+			for n := range int64(200) {
+				if size := (n*7919 + int64(i)) % (300 << 10); account.Charge(size) {
+					must.LessEq(t, limits.TotalBytes, board.ClientLoad.Load().Bytes)
+					account.Release(size)
+				}
+			}
+			account.Close()
+			account.Close()
+			must.False(t, account.Charge(1))
+		})
+	}
+	group.Wait()
+	load := board.ClientLoad.Load()
+	must.Eq(t, 0, load.Bytes)
+	must.Eq(t, 0, load.Connections)
+}
--- a/front/clientload/listener.go
+++ b/front/clientload/listener.go
@@ -25,6 +25,9 @@
 	Ledger *Ledger
 	Name   string
 	Limit  int
+	// Uncharged counts connections only: the memory of their requests is charged
+	// elsewhere.
+	Uncharged bool
 }
 
 // Accept implements net.Listener.
@@ -34,9 +37,13 @@
 		if err != nil {
 			return nil, err // net/http examines the type
 		}
-		account, accepted := l.Ledger.Open(l.Name, l.Limit, func() { _ = netConn.Close() })
+		open := l.Ledger.Open
+		if l.Uncharged {
+			open = l.Ledger.OpenUncharged
+		}
+		account, accepted := open(l.Name, l.Limit, func() { _ = netConn.Close() })
 		if accepted {
-			return &conn{Conn: netConn, account: account, inHead: true}, nil
+			return &conn{Conn: netConn, account: account, uncharged: l.Uncharged, inHead: !l.Uncharged}, nil
 		}
 		_ = netConn.Close() // nothing was read from it
 	}
@@ -45,7 +52,8 @@
 // conn charges the bytes that it reads until the handler is called.
 type conn struct {
 	net.Conn
-	account *Account
+	account   *Account
+	uncharged bool
 
 	mu      sync.Mutex
 	inHead  bool
@@ -99,6 +107,9 @@
 // beginRequest ends the charging of the head and charges the request's body.
 func (c *conn) beginRequest(r *http.Request, maxBody int64) bool {
 	c.account.MarkServed()
+	if c.uncharged {
+		return true
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inHead = false
@@ -114,7 +125,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.account.Release(c.charged)
-	c.charged, c.lines, c.inHead = 0, 0, true
+	c.charged, c.lines, c.inHead = 0, 0, !c.uncharged
 }
 
 type connKey struct{}
--- a/front/pipeline/pipeline_test.go
+++ b/front/pipeline/pipeline_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -262,3 +263,39 @@
 		})
 	}
 }
+
+// TestBodyOverLimit sends bodies over the limit, with and without a stated length.
+// It guards against a request that runs although its body is too long.
+func TestBodyOverLimit(t *testing.T) {
+	var runs, completed atomic.Int32
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		if _, err := io.ReadAll(r.Body); err != nil {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		completed.Add(1)
+	})
+	server := pipeline.New(handler, func() pipeline.Limits { return pipeline.Limits{MaxBodyBytes: 10} }, nil)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	go func() { _ = server.Serve(listener) }()
+	defer func() { _ = server.Shutdown(t.Context()) }()
+	send := func(request string) int {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		must.NoError(t, err)
+		defer conn.Close()
+		_, err = io.WriteString(conn, request)
+		must.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		must.NoError(t, err)
+		return response.StatusCode
+	}
+	const head = "POST / HTTP/1.1\r\nHost: h\r\n"
+	must.Eq(t, http.StatusRequestEntityTooLarge, send(head+"Content-Length: 11\r\n\r\n01234567890"))
+	must.Eq(t, 0, runs.Load())
+	must.Eq(t, http.StatusBadGateway, send(head+"Transfer-Encoding: chunked\r\n\r\nb\r\n01234567890\r\n0\r\n\r\n"))
+	must.Eq(t, 0, completed.Load())
+	must.Eq(t, http.StatusOK, send(head+"Content-Length: 10\r\n\r\n0123456789"))
+	must.Eq(t, http.StatusOK, send(head+"Transfer-Encoding: chunked\r\n\r\na\r\n0123456789\r\n0\r\n\r\n"))
+}
--- a/node/node.go
+++ b/node/node.go
@@ -294,11 +294,21 @@
 	return server{listener: &clientload.Listener{Listener: l, Ledger: n.ledger, Name: name, Limit: limit}, front: s}
 }
 
+// newPeerServer returns the server for other nodes, whose connections are limited.
+// The memory of forwarded requests is charged at the node that received them.
+func (n *Node) newPeerServer() server {
+	front := &http.Server{Handler: n.peerMux(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	clientload.Configure(front, 0)
+	limit := n.options.Settings.Clients.PeerConnections
+	listener := &clientload.Listener{Listener: n.listeners.peers, Ledger: n.ledger, Name: "peers", Limit: limit, Uncharged: true}
+	return server{listener: listener, front: front}
+}
+
 // registerClients adds the accounting of what clients hold.
 func (n *Node) registerClients() {
 	s := n.options.Settings.Clients
 	limits := decideclients.Limits{TotalBytes: s.MemoryBytes, ConnectionBytes: s.ConnectionBytes, HeaderLines: s.HeaderLines}
-	n.ledger = clientload.New(n.tables, n.options.Clock, limits, func(reason verdict.Reason) {
+	n.ledger = clientload.New(n.ioPool, n.tables, n.options.Clock, limits, func(reason verdict.Reason) {
 		n.options.Metrics.Count(clientLimitedEvent, reason)
 	})
 	clients.Register(n.pool, n.tables, limits)
@@ -318,8 +328,14 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "create operators' API")
 	}
+	var peers server
+	if n.ledger != nil {
+		peers = n.newPeerServer()
+	} else {
+		peers = newServer(n.listeners.peers, n.peerMux())
+	}
 	servers := []server{
-		newServer(n.listeners.peers, n.peerMux()),
+		peers,
 		newServer(n.listeners.operators, n.operatorMux(operators)),
 	}
 	if n.ledger == nil {
--- a/settings/clients.go
+++ b/settings/clients.go
@@ -17,6 +17,9 @@
 	// ReportConnections limits the connections to each of the listeners for
 	// reports and for readiness, 1 to 65535. Default 64.
 	ReportConnections int `json:"report_connections,omitempty"`
+	// PeerConnections limits the connections from other nodes, 1 to 65535. Default
+	// 2,048, half of the descriptors of the smallest hosts.
+	PeerConnections int `json:"peer_connections,omitempty"`
 	// HeaderLines limits the header lines of a request, 100 to 1,000,000. Default
 	// 22,000, which a head of 64 KiB cannot exceed.
 	HeaderLines int `json:"header_lines,omitempty"`
@@ -30,6 +33,7 @@
 	minConnectionBytes       = 1 << 20
 	defaultCallerConnections = 512
 	defaultReportConnections = 64
+	defaultPeerConnections   = 2048
 	defaultHeaderLines       = 22_000
 	minHeaderLines           = 100
 	maxHeaderLines           = 1_000_000
@@ -48,6 +52,9 @@
 	if c.ReportConnections == 0 {
 		c.ReportConnections = defaultReportConnections
 	}
+	if c.PeerConnections == 0 {
+		c.PeerConnections = defaultPeerConnections
+	}
 	if c.HeaderLines == 0 {
 		c.HeaderLines = defaultHeaderLines
 	}
@@ -62,5 +69,6 @@
 	}
 	c.between("clients.connections", s.Connections, 1, maxCount)
 	c.between("clients.report_connections", s.ReportConnections, 1, maxCount)
+	c.between("clients.peer_connections", s.PeerConnections, 1, maxCount)
 	c.between("clients.header_lines", s.HeaderLines, minHeaderLines, maxHeaderLines)
 }
--- a/tables/clients.go
+++ b/tables/clients.go
@@ -11,6 +11,9 @@
 	// front/clientload adds, updates and deletes rows; it and the controller
 	// clients mark connections to be closed.
 	ClientHoldings *blackboard.Table[uint64, clientload.Holding]
+	// ClientCloses holds the connections to be closed. Added by front/clientload
+	// and the controller clients, deleted by the I/O workers of front/clientload.
+	ClientCloses *blackboard.Table[uint64, struct{}]
 	// ClientLoad is the sum of ClientHoldings. Written by front/clientload and
 	// the controller clients.
 	ClientLoad *blackboard.Cell[clientload.Load]
@@ -19,6 +22,7 @@
 func newClients(b *blackboard.Board) Clients {
 	return Clients{
 		ClientHoldings: blackboard.NewTable[uint64, clientload.Holding](b, "client_holdings", rankClientHoldings),
+		ClientCloses:   blackboard.NewTable[uint64, struct{}](b, "client_closes", rankClientCloses),
 		ClientLoad:     blackboard.NewCell[clientload.Load](b, "client_load", rankClientLoad),
 	}
 }
--- a/tables/order.go
+++ b/tables/order.go
@@ -58,6 +58,7 @@
 	rankCalls          blackboard.Rank = 400
 	rankClientHoldings blackboard.Rank = 410
 	rankClientLoad     blackboard.Rank = 412
+	rankClientCloses   blackboard.Rank = 414
 	rankBackend        blackboard.Rank = 490
 	rankDrain          blackboard.Rank = 500
 	rankLimits         blackboard.Rank = 510
