--- a/settings/clients.go
+++ b/settings/clients.go
@@ -3,7 +3,8 @@
 import "strconv"
 
 // Clients holds the limits on what clients outside the operator's control can
-// hold of the node. The defaults suit the smallest host, of 112 MB.
+// hold of the node. They apply with platform.kind "store". The defaults suit the
+// smallest host, of 112 MB.
 type Clients struct {
 	// MemoryBytes limits the memory that all clients hold together, 8 MiB to 16
 	// GiB. Default 32 MiB.
