--- a/front/pipeline/account.go
+++ b/front/pipeline/account.go
@@ -7,7 +7,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/marigoldshelf/marigoldshelf/decide/clientload"
-	account "github.com/marigoldshelf/marigoldshelf/front/clientload"
 )
 
 var (
@@ -25,7 +24,7 @@
 
 // headCharge charges the memory of a request while its head is read.
 type headCharge struct {
-	account *account.Account
+	conn    *conn
 	charged int64
 	lines   int
 }
@@ -35,15 +34,15 @@
 func (h *headCharge) add(part []byte) error {
 	lines := bytes.Count(part, []byte{'\n'})
 	h.lines += lines
-	if limit := h.account.HeaderLines(); limit > 0 && h.lines > limit {
-		h.account.CountHeaderLines()
+	if limit := h.conn.account.HeaderLines(); limit > 0 && h.lines > limit {
+		h.conn.account.CountHeaderLines()
 		return errHeaderLines
 	}
 	return h.charge(clientload.HeadBytes(len(part), lines))
 }
 
 func (h *headCharge) charge(n int64) error {
-	if !h.account.Charge(n) {
+	if !h.conn.chargeOrWait(n) {
 		return errNoMemory
 	}
 	h.charged += n
@@ -77,7 +76,7 @@
 // of the connection are in flight it waits for one of them to end rather than
 // refuse the request, so that the connection is not read meanwhile.
 func (c *conn) startHead() (*headCharge, error) {
-	head := &headCharge{account: c.account}
+	head := &headCharge{conn: c}
 	if !c.chargeOrWait(clientload.RequestBytes) {
 		return head, errNoMemory
 	}
@@ -93,11 +92,13 @@
 // request in flight, or if the caller disconnects.
 func (c *conn) chargeOrWait(n int64) bool {
 	for {
-		ended := c.nextEnd()
+		// A request releases its memory before it stops being in flight, so the
+		// count is taken before the charge.
+		ended, inFlight := c.nextEnd(), c.inFlightCount()
 		if c.account.Charge(n) {
 			return true
 		}
-		if c.inFlightCount() == 0 || !c.awaitSignal(ended) {
+		if inFlight == 0 || !c.awaitSignal(ended) {
 			return false
 		}
 	}
--- a/front/pipeline/account_test.go
+++ b/front/pipeline/account_test.go
@@ -72,7 +72,7 @@
 // TestRequestsWaitForMemory guards against the refusal of requests that only have
 // to wait for earlier ones of their connection.
 func TestRequestsWaitForMemory(t *testing.T) {
-	limits := decide.Limits{TotalBytes: 1 << 20, ConnectionBytes: 200 << 10}
+	limits := decide.Limits{TotalBytes: 1 << 20, ConnectionBytes: 150 << 10}
 	responses, runs, most := exchangeLimited(t, limits, strings.Repeat(limitedRequest, 20), 20)
 	must.SliceLen(t, 20, responses)
 	for _, response := range responses {
