--- a/cmd/marigold/check_approved.go
+++ b/cmd/marigold/check_approved.go
@@ -43,6 +43,7 @@
 		}
 		report.Differences = append(report.Differences, audit.Differences(inForce, config)...)
 	}
+	report.renameFields()
 	if l.JSON {
 		err = l.printJSON(report)
 	} else {
@@ -74,6 +75,18 @@
 	return config, findings, nil
 }
 
+// renameFields replaces the names of fields by those that the operator uses.
+func (r audited) renameFields() {
+	for _, list := range [][]audit.Finding{r.Errors, r.Warnings} {
+		for i := range list {
+			list[i].Field = platform.FieldName(list[i].Field)
+		}
+	}
+	for i := range r.Differences {
+		r.Differences[i].Field = platform.FieldName(r.Differences[i].Field)
+	}
+}
+
 // print prints the report as text.
 func (r audited) print(l *commandLine) {
 	for _, f := range r.Errors {
--- a/decide/audit/audit.go
+++ b/decide/audit/audit.go
@@ -75,11 +75,11 @@
 	if len(shares) == 0 {
 		shares = []mesh.WeightedService{{Service: r.Service, Weight: 1}}
 	} else if r.Service != "" {
-		w.add(entry, "service", "has no effect beside trafficSplit")
+		w.add(entry, "service", "has no effect beside a split")
 	}
 	for _, share := range shares {
 		if share.Weight == 0 {
-			w.add(entry, "trafficSplit", "service %s has weight 0 and gets no requests", share.Service)
+			w.add(entry, "split", "service %s has weight 0 and gets no requests", share.Service)
 			continue
 		}
 		routed[share.Service] = true
@@ -89,7 +89,7 @@
 	}
 	timeout := time.Duration(r.DeadlineMillis) * time.Millisecond
 	if r.Unreadable == "" && r.LatencyObjective > timeout {
-		w.add(entry, "targetLatency", "%s is over the timeout of %s", r.LatencyObjective, timeout)
+		w.add(entry, "latency_objective", "%s is over the timeout of %s", r.LatencyObjective, timeout)
 	}
 }
 
@@ -97,13 +97,13 @@
 func (w *warnings) addAccount(a mesh.Account) {
 	entry := "account " + string(a.Name)
 	if len(a.Keys) == 0 {
-		w.add(entry, "apiKeys", "without a key, no request can use the account")
+		w.add(entry, "keys", "without a key, no request can use the account")
 	}
 	if a.HasQuota() && a.Burst < a.RatePerSecond {
 		w.add(entry, "burst", "%s is under the rate of %s a second", number(a.Burst), number(a.RatePerSecond))
 	}
 	if !a.HasQuota() && a.Burst > 0 {
-		w.add(entry, "burst", "has no effect without ratePerS")
+		w.add(entry, "burst", "has no effect without a rate")
 	}
 }
 
@@ -156,10 +156,10 @@
 			shares = append(shares, string(share.Service)+"="+strconv.Itoa(share.Weight))
 		}
 		entries["route "+r.ID] = entryFields{
-			"host": r.HostName, "pathPrefix": r.PathPrefix, "kind": string(r.Class), "service": string(r.Service),
-			"trafficSplit": strings.Join(shares, " "), "timeout": (time.Duration(r.DeadlineMillis) * time.Millisecond).String(),
-			"targetLatency": r.LatencyObjective.String(), "priority": strconv.Itoa(r.Priority),
-			"maxAttempts": strconv.Itoa(r.MaxBackendAttempts), "public": strconv.FormatBool(r.Public),
+			"host_name": r.HostName, "path_prefix": r.PathPrefix, "class": string(r.Class), "service": string(r.Service),
+			"split": strings.Join(shares, " "), "deadline": (time.Duration(r.DeadlineMillis) * time.Millisecond).String(),
+			"latency_objective": r.LatencyObjective.String(), "priority": strconv.Itoa(r.Priority),
+			"max_backend_attempts": strconv.Itoa(r.MaxBackendAttempts), "public": strconv.FormatBool(r.Public),
 			"unreadable": r.Unreadable,
 		}
 	}
@@ -170,7 +170,7 @@
 	entries := make(map[string]entryFields)
 	for name, connections := range a.MaxConnections {
 		entries["service "+string(name)] = entryFields{
-			"maxConnections": strconv.Itoa(connections), "healthCheckPath": a.HealthPaths[name],
+			"max_connections": strconv.Itoa(connections), "health_path": a.HealthPaths[name],
 		}
 	}
 	return entries
@@ -185,8 +185,8 @@
 		}
 		slices.Sort(keys)
 		entries["account "+string(account.Name)] = entryFields{
-			"apiKeys": strings.Join(keys, " "), "priority": strconv.Itoa(account.Priority),
-			"ratePerS": number(account.RatePerSecond), "burst": number(account.Burst),
+			"keys": strings.Join(keys, " "), "priority": strconv.Itoa(account.Priority),
+			"rate_per_second": number(account.RatePerSecond), "burst": number(account.Burst),
 		}
 	}
 	return entries
@@ -194,8 +194,8 @@
 
 func limits(a mesh.ApprovedConfig) map[string]entryFields {
 	return map[string]entryFields{"limits": {
-		"maxHeaderBytes": strconv.FormatInt(a.Limits.MaxHeaderBytes, 10), "maxBodyBytes": strconv.FormatInt(a.Limits.MaxBodyBytes, 10),
-		"headerTimeout": a.Limits.HeaderTimeout.String(), "idleTimeout": a.Limits.IdleTimeout.String(),
+		"max_header_bytes": strconv.FormatInt(a.Limits.MaxHeaderBytes, 10), "max_body_bytes": strconv.FormatInt(a.Limits.MaxBodyBytes, 10),
+		"header_timeout": a.Limits.HeaderTimeout.String(), "idle_timeout": a.Limits.IdleTimeout.String(),
 	}}
 }
 
--- a/decide/route/account.go
+++ b/decide/route/account.go
@@ -34,7 +34,7 @@
 		index.byName[a.Name] = a
 		for _, key := range a.Keys {
 			if other, exists := index.byKey[key]; exists && other != a.Name {
-				l.addField("apiKeys", "shares a key with account %s", other)
+				l.addField("keys", "shares a key with account %s", other)
 			}
 			index.byKey[key] = a.Name
 		}
--- a/decide/route/approved.go
+++ b/decide/route/approved.go
@@ -27,7 +27,7 @@
 			index[hostName] = make(literalRoutes)
 		}
 		if other, exists := index[hostName][r.PathPrefix]; exists {
-			l.addField("pathPrefix", "matches the same requests as route %s", other.ID)
+			l.addField("path_prefix", "matches the same requests as route %s", other.ID)
 		}
 		index[hostName][r.PathPrefix] = r
 	}
@@ -44,10 +44,10 @@
 // checkApproved checks one route of approved configuration.
 func (l *faultList) checkApproved(r mesh.Route) {
 	if r.HostName == "" {
-		l.addField("host", "has no host name")
+		l.addField("host_name", "has no host name")
 	}
 	if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
-		l.addField("pathPrefix", "path prefix %q does not begin and end with /", r.PathPrefix)
+		l.addField("path_prefix", "path prefix %q does not begin and end with /", r.PathPrefix)
 	}
 	if r.Unreadable != "" {
 		return // only its match is known
@@ -58,18 +58,18 @@
 	totalWeight := 0
 	for _, share := range r.Split {
 		if share.Weight < 0 || share.Service == "" {
-			l.addField("trafficSplit", "has a share without a service or with a negative weight")
+			l.addField("split", "has a share without a service or with a negative weight")
 		}
 		totalWeight += share.Weight
 	}
 	if len(r.Split) > 0 && totalWeight == 0 {
-		l.addField("trafficSplit", "has shares with a total weight of zero")
+		l.addField("split", "has shares with a total weight of zero")
 	}
 	if !r.Class.Valid() {
-		l.addField("kind", "unknown class: %q", r.Class)
+		l.addField("class", "unknown class: %q", r.Class)
 	}
 	if r.DeadlineMillis < 1 {
-		l.addField("timeout", "timeout %d ms is not positive", r.DeadlineMillis)
+		l.addField("deadline", "timeout %d ms is not positive", r.DeadlineMillis)
 	}
 }
 
--- a/test/process/uncontrolled_test.go
+++ b/test/process/uncontrolled_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/marigoldshelf/marigoldshelf/platform/standin"
 	"github.com/marigoldshelf/marigoldshelf/test/process"
 )
 
@@ -46,7 +47,7 @@
 // as fit into maxBytes, and the blank line.
 func head(requestLine string, maxBytes int, line func(i int) string) string {
 	var b strings.Builder
-	b.WriteString(requestLine + " HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: a-1\r\nX-Deadline-Milliseconds: 4000\r\n")
+	b.WriteString(requestLine + " HTTP/1.1\r\nHost: shop.example\r\n" + standin.CallerHeaders("a-1", 4*time.Second))
 	for i := 0; ; i++ {
 		next := line(i)
 		if b.Len()+len(next)+2 > maxBytes {
