--- a/controllers/quota/quota.go
+++ b/controllers/quota/quota.go
@@ -19,6 +19,8 @@
 
 // Config holds the parameters of the controllers.
 type Config struct {
+	// Zones is the number of zones of the deployment; zero if it is not known.
+	Zones int
 	// Random is used only under the write lock of the table LeaseRequests.
 	Random *rand.Rand
 	// Add adds to a counter, inside a transaction; nil ignores it.
@@ -81,7 +83,9 @@
 			}
 			return true
 		})
-		r.QuotaDuty.Set(tx, r.QuotaDuty.Get(tx).Update(now, r.Self.Get(tx), members, unknown))
+		duty := r.QuotaDuty.Get(tx)
+		duty.ConfiguredZones = r.Zones
+		r.QuotaDuty.Set(tx, duty.Update(now, r.Self.Get(tx), members, unknown))
 	}, r.Members.Read(), r.Self.Read(), r.JoinAddresses.Read(), r.QuotaDuty.Write())
 	return controller.Result{}
 }
@@ -133,7 +137,7 @@
 		request, lease = request.Answer(now, lease, r.grant(tx, now, message))
 	}
 	r.Leases.Put(tx, name, lease)
-	if len(request.Waiting) == 0 {
+	if len(request.Waiting) == 0 && request.Asked.Host == "" {
 		r.LeaseRequests.Delete(tx, name)
 		return controller.Result{}
 	}
@@ -233,7 +237,7 @@
 		return
 	}
 	lease, _ := r.Leases.Get(tx, m.Account)
-	if next, changed := request.Answer(now, lease, m); next.Asked != request.Asked {
+	if next, changed := request.Answer(now, lease, m); next.Asked != request.Asked || next.Late != request.Late {
 		r.LeaseRequests.Put(tx, m.Account, next)
 		r.Leases.Put(tx, m.Account, changed)
 	}
--- a/decide/call/call.go
+++ b/decide/call/call.go
@@ -322,12 +322,15 @@
 	if c.Request.Deadline.IsZero() {
 		return 0, nil
 	}
-	parent, isNamed := findParent(c.Request.ParentID, c.Request.Deadline, w.Running)
+	var isNamed bool
+	if c.Request.Key == (mesh.KeyHash{}) { // calls have no key
+		parent, isNamed = findParent(c.Request.ParentID, c.Request.Deadline, w.Running)
+	}
 	state := w.Route(id)
 	remaining := c.Request.Deadline.Sub(c.Request.Arrived)
 	waited = state.WaitedBefore(remaining)
 	*state = state.Observe(remaining, parent != nil)
-	if !w.RanksCalls || c.Request.Key != (mesh.KeyHash{}) || !isNamed && !state.IsNested() {
+	if !w.RanksCalls || !isNamed && !state.IsNested() {
 		parent = nil
 	}
 	return waited, parent
--- a/decide/call/rank_test.go
+++ b/decide/call/rank_test.go
@@ -95,14 +95,15 @@
 	s := runningService(t, call.RunningRequest{CallerID: "p", Deadline: arrivedAt.Add(900 * time.Millisecond), AccountPriority: 1, Priority: 2})
 	state := call.RouteState{}
 	s.environment.Route = func(string) *call.RouteState { return &state }
-	begin := func(parent string) call.Call {
+	begin := func(parent string, deadline time.Duration) call.Call {
 		return call.Begin(arrivedAt, call.Request{
-			HostName: "h", Path: "/x", Arrived: arrivedAt, Deadline: arrivedAt.Add(200 * time.Millisecond), BodyBuffered: true, ParentID: parent,
+			HostName: "h", Path: "/x", Arrived: arrivedAt, Deadline: arrivedAt.Add(deadline), BodyBuffered: true, ParentID: parent,
 		}, s.environment)
 	}
-	named := begin("p")
+	named := begin("p", 200*time.Millisecond)
 	must.True(t, named.Nested)
 	must.Eq(t, 1, named.AccountPriority)
 	must.Eq(t, 2, named.Priority)
-	must.False(t, begin("q").Nested)
+	must.False(t, begin("q", 200*time.Millisecond).Nested)
+	must.False(t, begin("p", time.Second).Nested, must.Sprint("a call does not outlast its parent"))
 }
--- a/decide/call/waited.go
+++ b/decide/call/waited.go
@@ -59,15 +59,15 @@
 }
 
 // findParent returns the running request that makes a call, or nil. The call names
-// its ID (isNamed), or has its deadline: of several with the same deadline it is the
-// one with the highest rank, because a call must not fall behind the work that waits
-// for it.
+// its ID (isNamed) and ends before it, or has its deadline: of several with the same
+// deadline it is the one with the highest rank, because a call must not fall behind
+// the work that waits for it.
 func findParent(id string, call time.Time, running iter.Seq[RunningRequest]) (parent *RunningRequest, isNamed bool) {
 	if running == nil {
 		return nil, false
 	}
 	for r := range running {
-		if id != "" && r.CallerID == id {
+		if id != "" && r.CallerID == id && call.Sub(r.Deadline) <= nestedTolerance {
 			return &r, true
 		}
 		if call.Sub(r.Deadline).Abs() <= nestedTolerance && (parent == nil || r.before(*parent)) {
--- a/decide/quota/bucket.go
+++ b/decide/quota/bucket.go
@@ -37,9 +37,9 @@
 // another zone. A loan leaves half of what the own zone has needed recently. The
 // result wait is the time until the next token, if fewer than count are granted.
 //
-// A bucket of another granting period than since starts empty at since.
+// A bucket of an earlier granting period than since starts empty at since.
 func (b Bucket) Grant(now, since time.Time, r Refill, count int, loan bool) (next Bucket, granted int, wait time.Duration) {
-	if !b.Since.Equal(since) {
+	if since.After(b.Since) {
 		b = Bucket{Since: since, At: since}
 	}
 	elapsed := max(now.Sub(b.At), 0)
@@ -81,7 +81,10 @@
 func (d Duty) Grant(now time.Time, self membership.Self, a mesh.Account, b Bucket, m Message) (answer Message, next Bucket, granting bool) {
 	answer = Message{Kind: NotGranting, From: d.Self.Host, Sequence: m.Sequence, Account: m.Account}
 	since, grants := d.GrantsSince(now, m.Account)
-	if !grants || !self.Confirmed(now) || !a.HasQuota() {
+	// After a pause of the process, self can be confirmed before the duty has seen
+	// that the confirmation had ended.
+	isStale := self.Status != membership.SoleMember && now.After(d.confirmedUntil)
+	if !grants || isStale || !self.Confirmed(now) || !a.HasQuota() {
 		return answer, b, false
 	}
 	answer.Kind = Answer
--- a/decide/quota/duty.go
+++ b/decide/quota/duty.go
@@ -21,6 +21,14 @@
 	// gone. When all processes start together, parts of the fleet find each other
 	// one after the other.
 	longSettleTime = 5 * time.Second
+	// knownZonesSettleTime is settleTime where the settings name all zones. A part of
+	// a zone that has not found the rest yet then grants at most the zone's part, for
+	// as long as membership needs to spread, and a restart of all processes leaves a
+	// longer time without any grant before it.
+	knownZonesSettleTime = 700 * time.Millisecond
+	// recentEnd is how long a host that ended counts among those of its zone, when a
+	// node decides whether it is in the larger part of a zone that is split.
+	recentEnd = 30 * time.Second
 	// takeoverTime is how long after the end of an account's granting node its
 	// successor starts to grant, so that all nodes have learned of the end.
 	takeoverTime = time.Second
@@ -33,9 +41,12 @@
 	// Live holds the members by zone that can be granting nodes, this node
 	// included.
 	Live map[mesh.Zone][]mesh.Member
-	// Zones is the number of zones with known members, also with members that are
-	// gone, so that it does not shrink when a zone is cut off.
+	// Zones is the number of zones that share the quota: those of the settings, or
+	// those with known members, also with members that are gone, so that it does not
+	// shrink when a zone is cut off.
 	Zones int
+	// ConfiguredZones is the number of zones in the settings; zero if they name none.
+	ConfiguredZones int
 	// Nodes is the number of known members.
 	Nodes int
 	// EndedAt is when hosts of the own zone stopped being live.
@@ -51,10 +62,11 @@
 
 // Update returns the duty after a change of the membership; unknown is the number
 // of announced nodes that are not among the members. A gap between two
-// confirmations begins a new settleTime.
+// confirmations that is long enough for a successor begins a new settleTime.
 func (d Duty) Update(now time.Time, self membership.Self, members []mesh.Member, unknown int) Duty {
 	next := Duty{
-		Self: self.Member, Nodes: len(members), Live: make(map[mesh.Zone][]mesh.Member),
+		ConfiguredZones: d.ConfiguredZones,
+		Self:            self.Member, Nodes: len(members), Live: make(map[mesh.Zone][]mesh.Member),
 		EndedAt: maps.Clone(d.EndedAt), confirmedUntil: self.ConfirmedUntil,
 	}
 	if next.EndedAt == nil {
@@ -67,7 +79,7 @@
 			next.Live[m.Zone] = append(next.Live[m.Zone], m)
 		}
 	}
-	next.Zones = len(zones)
+	next.Zones = max(len(zones), d.ConfiguredZones)
 	next.updateEnded(now, d)
 	next.EstablishedAt, next.EligibleAt = d.eligible(now, self, next.Zones, unknown)
 	return next
@@ -91,17 +103,27 @@
 // it.
 func (d Duty) eligible(now time.Time, self membership.Self, zones, unknown int) (establishedAt, eligibleAt time.Time) {
 	sole := self.Status == membership.SoleMember
+	// A successor begins takeoverTime after the end of the confirmation at the
+	// earliest.
+	gap := !sole && now.After(d.confirmedUntil.Add(takeoverTime/2))
+	if !self.Confirmed(now) && !gap {
+		return d.EstablishedAt, d.EligibleAt
+	}
 	if !self.Confirmed(now) || !sole && !(self.Joined && self.TableSynced) {
 		return time.Time{}, time.Time{}
 	}
-	gap := !sole && now.After(d.confirmedUntil)
 	switch settling := now.Before(d.EligibleAt); {
 	case d.EligibleAt.IsZero() || gap:
 		settle := settleTime
-		if sole {
+		switch {
+		case sole:
 			settle = longSettleTime
+		case d.ConfiguredZones > 0:
+			settle = knownZonesSettleTime
 		}
 		return now, now.Add(settle)
+	case d.ConfiguredZones > 0:
+		return d.EstablishedAt, d.EligibleAt
 	case settling && zones != d.Zones:
 		return d.EstablishedAt, latest(d.EligibleAt, now.Add(settleTime))
 	case settling && unknown > 0:
@@ -126,10 +148,23 @@
 	return !d.EligibleAt.IsZero() && !now.Before(d.EligibleAt)
 }
 
+// inLargerPart reports whether at least half of the hosts that the own zone had
+// lately are live, as far as this node knows. In a zone that is split, the smaller
+// part grants nothing.
+func (d Duty) inLargerPart(now time.Time) bool {
+	ended := 0
+	for _, at := range d.EndedAt {
+		if now.Sub(at) < recentEnd {
+			ended++
+		}
+	}
+	return len(d.Live[d.Self.Zone]) >= ended
+}
+
 // GrantsSince returns since when this node is the account's granting node in its
 // zone; false if it is not, or not yet.
 func (d Duty) GrantsSince(now time.Time, a mesh.AccountName) (since time.Time, grants bool) {
-	if !d.established(now) || !slices.ContainsFunc(d.Live[d.Self.Zone], func(m mesh.Member) bool { return m.Host == d.Self.Host }) {
+	if !d.established(now) || !d.inLargerPart(now) || !slices.ContainsFunc(d.Live[d.Self.Zone], func(m mesh.Member) bool { return m.Host == d.Self.Host }) {
 		return time.Time{}, false
 	}
 	since = d.EligibleAt
--- a/decide/quota/lease.go
+++ b/decide/quota/lease.go
@@ -20,6 +20,12 @@
 	// skipTime is how long a node does not ask the granting node of its own zone
 	// after it has not answered.
 	skipTime = time.Second
+	// notGrantingSkipTime is the same after it has answered that it does not grant,
+	// as it does while it starts or takes over.
+	notGrantingSkipTime = 250 * time.Millisecond
+	// maxRefusal limits how long requests are refused without asking. The callers'
+	// retry delay can be longer.
+	maxRefusal = 500 * time.Millisecond
 	// useSpan is the span in which the use of tokens is counted, to decide how
 	// many to ask for.
 	useSpan = LeaseValidity
@@ -187,12 +193,23 @@
 	Asked    Target
 	Sequence uint64
 	SentAt   time.Time
+	// Late is the question before, whose answer did not come in time. Its tokens are
+	// still used if they come while they are valid.
+	Late Question
 	// Answered is true once a granting node has declined, and Wait the shortest
 	// time until a token that one has stated.
 	Answered bool
 	Wait     time.Duration
 }
 
+// Question is a question for tokens that was given up.
+type Question struct {
+	Host     mesh.HostID
+	Sequence uint64
+	SentAt   time.Time
+	Home     bool
+}
+
 // Add returns the request with one more waiting call; false if too many wait.
 func (r Request) Add(id string) (Request, bool) {
 	if len(r.Waiting) >= maxWaiting {
@@ -210,9 +227,17 @@
 	return r.SentAt.Add(AnswerTimeout)
 }
 
-// Answer applies an answer. It is ignored unless it is the one that is awaited.
-// The tokens are valid from the time the question was sent.
+// Answer applies an answer. It is ignored unless it is the one that is awaited, or
+// the late one to the question before. The tokens are valid from the time the
+// question was sent.
 func (r Request) Answer(now time.Time, l Lease, m Message) (Request, Lease) {
+	if late := r.Late; m.Kind == Answer && late.Host != "" && m.From == late.Host && m.Sequence == late.Sequence {
+		r.Late = Question{}
+		if late.Home {
+			l.SkipHomeUntil = time.Time{}
+		}
+		return r, l.with(now, late.SentAt, m.Count)
+	}
 	if r.Asked.Host == "" || m.Sequence != r.Sequence || m.From != r.Asked.Host {
 		return r, l
 	}
@@ -220,7 +245,7 @@
 	r.Asked = Target{}
 	if m.Kind == NotGranting {
 		if asked.Home {
-			l.SkipHomeUntil = now.Add(skipTime)
+			l.SkipHomeUntil = now.Add(notGrantingSkipTime)
 		}
 		return r, l
 	}
@@ -228,10 +253,15 @@
 	if m.Wait > 0 && (r.Wait == 0 || m.Wait < r.Wait) {
 		r.Wait = m.Wait
 	}
-	if expires := r.SentAt.Add(LeaseValidity); m.Count > 0 && now.Before(expires) {
-		l.Tokens = append(slices.Clone(l.Tokens), Tokens{Count: min(m.Count, MaxTokens), Expires: expires})
+	return r, l.with(now, r.SentAt, m.Count)
+}
+
+// with returns the lease with the tokens of an answer to a question sent at sentAt.
+func (l Lease) with(now, sentAt time.Time, count int) Lease {
+	if expires := sentAt.Add(LeaseValidity); count > 0 && now.Before(expires) {
+		l.Tokens = append(slices.Clone(l.Tokens), Tokens{Count: min(count, MaxTokens), Expires: expires})
 	}
-	return r, l
+	return l
 }
 
 // Decided is a decision about a waiting call.
@@ -261,6 +291,7 @@
 		if r.Asked.Home {
 			l.SkipHomeUntil = now.Add(skipTime)
 		}
+		r.Late = Question{Host: r.Asked.Host, Sequence: r.Sequence, SentAt: r.SentAt, Home: r.Asked.Home}
 		r.Asked = Target{}
 	}
 	if len(r.Waiting) == 0 {
@@ -286,7 +317,7 @@
 	var decided []Decided
 	if r.Answered {
 		wait := max(r.Wait, minRefusal)
-		l.RefusedUntil = now.Add(wait)
+		l.RefusedUntil = now.Add(min(wait, maxRefusal))
 		for _, id := range r.Waiting {
 			decided = append(decided, Decided{id, Decision{Outcome: OverQuota, RetryAfter: wait}})
 		}
--- a/encoding/hop/admission_test.go
+++ b/encoding/hop/admission_test.go
@@ -69,3 +69,15 @@
 	time.Sleep(60 * time.Millisecond)
 	must.NoError(t, ctx.Err())
 }
+
+// Guards against a request without a body that counts as not run because its caller
+// sent Expect: it runs without a body to wait for.
+func TestExpectOfTheCallerIsNotPassedOn(t *testing.T) {
+	to := make(http.Header)
+	hop.CopyHeaders(to, http.Header{"Expect": {"100-continue"}, "X-Other": {"1"}})
+	must.Eq(t, http.Header{"X-Other": {"1"}}, to)
+	r, err := http.NewRequest(http.MethodPost, "http://"+startSilent(t, false)+"/", nil)
+	must.NoError(t, err)
+	r.Header.Set("Expect", "100-continue")
+	must.False(t, hop.IsSentOnAdmission(r))
+}
--- a/encoding/hop/forward.go
+++ b/encoding/hop/forward.go
@@ -7,8 +7,9 @@
 )
 
 // hopByHop lists the headers that apply to one connection only (RFC 9110, 7.6.1).
+// Expect is among them: each hop decides when the body is sent.
 var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Connection", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
 	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
--- a/encoding/hop/transport.go
+++ b/encoding/hop/transport.go
@@ -222,8 +222,8 @@
 			failure = errInvalidStatus
 		}
 		if failure != nil {
+			usage.seal()              // before the connection can be reused
 			_ = response.Body.Close() // failure is the more useful error
-			usage.seal()
 			return nil, verdict.New(verdict.MayHaveRun, verdict.TransportFailed, failure)
 		}
 		if !isDelimited(response) {
@@ -241,7 +241,7 @@
 // IsSentOnAdmission reports whether the body of a request is sent only once the
 // receiving node has admitted the request, which does not run without it.
 func IsSentOnAdmission(r *http.Request) bool {
-	return strings.EqualFold(r.Header.Get("Expect"), "100-continue")
+	return r.ContentLength != 0 && strings.EqualFold(r.Header.Get("Expect"), "100-continue")
 }
 
 // ErrNotAdmitted is the cause with which WithAdmissionTimeout ends a context.
--- a/node/traffic.go
+++ b/node/traffic.go
@@ -50,6 +50,7 @@
 	}
 	calls.Register(n.pool, t, config)
 	quota.Register(n.pool, t, quota.Config{
+		Zones:  len(n.options.Settings.Zones),
 		Random: rand.New(rand.NewPCG(n.options.Seed+1, uint64(n.self.Incarnation))),
 		Add:    n.options.Metrics.Add,
 	})
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -28,7 +28,10 @@
 	// Zone is the node's availability zone. Required.
 	Zone mesh.Zone `json:"zone"`
 	// Region is the region of the zone. Optional if there is only one region.
-	Region      mesh.Region  `json:"region"`
+	Region mesh.Region `json:"region"`
+	// Zones are all availability zones of the deployment, if they are known. The
+	// quota of a client account is divided by them. Default those of known nodes.
+	Zones       []mesh.Zone  `json:"zones,omitempty"`
 	Listen      Listen       `json:"listen"`
 	Peers       Peers        `json:"peers"`
 	Backend     Backend      `json:"backend"`
