--- a/decide/call/token_test.go
+++ b/decide/call/token_test.go
@@ -35,9 +35,9 @@
 // Guards against an attempt that is chosen before the account's quota allows it,
 // and against a call that waits although its account has no quota.
 func TestCallOfAnAccountWithAQuotaWaitsForItsToken(t *testing.T) {
-	s, begin := serviceWithQuota(t, 0)
+	_, begin := serviceWithQuota(t, 0)
 	must.Len(t, 1, begin().Attempts)
-	s, begin = serviceWithQuota(t, 10)
+	s, begin := serviceWithQuota(t, 10)
 	c := begin()
 	must.SliceEmpty(t, c.Attempts)
 	must.Eq(t, call.TokenNeeded, c.Token.State)
