--- a/decide/call/call.go
+++ b/decide/call/call.go
@@ -145,7 +145,8 @@
 	Priority           int
 	MaxBackendAttempts int
 	// Nested is true for a call that the own backend server makes while it runs a
-	// request. Its priorities are then those of that request.
+	// request. It has the account priority of that request, and the better priority
+	// of the two routes.
 	Nested   bool
 	Deadline time.Time
 	// Grace is how long after Deadline an outstanding attempt is still awaited.
@@ -243,7 +244,9 @@
 	}
 	if parent != nil {
 		c.Nested = true
-		c.AccountPriority, c.Priority = parent.AccountPriority, parent.Priority
+		// The better of both ranks: behind work of the own route's rank, the call would
+		// fail and waste the run that waits for it.
+		c.AccountPriority, c.Priority = parent.AccountPriority, min(c.Priority, parent.Priority)
 	}
 	rule := c.Rule
 	c.Deadline, c.Grace = r.Arrived.Add(rule.Deadline()), DeadlineGrace
--- a/decide/quota/lease.go
+++ b/decide/quota/lease.go
@@ -28,7 +28,7 @@
 	maxRefusal = 500 * time.Millisecond
 	// useSpan is the span in which the use of tokens is counted, to decide how
 	// many to ask for.
-	useSpan = LeaseValidity
+	useSpan = 500 * time.Millisecond
 	// maxWaiting bounds the requests of an account that wait for a token.
 	maxWaiting = 512
 	// MaxTokens bounds the tokens of one message.
--- a/decide/quota/plan.go
+++ b/decide/quota/plan.go
@@ -25,7 +25,7 @@
 const (
 	// LeaseValidity is how long a node can use the tokens of a lease, counted from
 	// the sending of its request.
-	LeaseValidity = 500 * time.Millisecond
+	LeaseValidity = 250 * time.Millisecond
 	// AnswerTimeout is how long a node waits for the answer of a granting node. A
 	// host with 0.16 of a core is throttled for up to 84 ms of each 100 ms, and a
 	// shorter timeout would take such a host for dead.
@@ -38,11 +38,14 @@
 	// usedLate is how long after its creation a token can be used at the latest,
 	// measured against the time at which the request was sent.
 	usedLate = LeaseValidity + maxWait
-	// shareFraction is the fraction of the permitted excess that nodes use while
+	// ShareFraction is the fraction of the permitted excess that nodes use while
 	// no granting node answers.
-	shareFraction = 0.5
+	ShareFraction = 0.3
+	// reservedFraction is the fraction that nobody uses, for the moments in which two
+	// nodes take themselves for the granting node.
+	reservedFraction = 0.1
 	// maxExtraBurst is how far the capacity of all zones can exceed the burst.
-	maxExtraBurst = slack / 2
+	maxExtraBurst = (1 - ShareFraction - reservedFraction) * slack
 )
 
 // Refill describes a token bucket: tokens a second, and how many it holds.
@@ -56,6 +59,15 @@
 	return overshoot*(a.RatePerSecond*window.Seconds()+a.Burst) + slack
 }
 
+const (
+	// maxRateRatio is how far the refill exceeds the rate where the burst allows it:
+	// a window permits its burst besides the rate, so that an account that sends a
+	// little more than its rate all the time stays within its quota.
+	maxRateRatio = 1.08
+	// burstRatio is the capacity that is kept for short peaks, in seconds of the rate.
+	burstRatio = 0.3
+)
+
 // ZoneRefill returns the bucket of one of the given number of zones. The requests
 // in a window use tokens that were created in a span that is longer by usedLate,
 // so the capacity is lower by the tokens of that time. If the burst is too small
@@ -63,8 +75,11 @@
 func ZoneRefill(a mesh.Account, zones int) Refill {
 	parts := float64(max(zones, 1))
 	span := (window + usedLate).Seconds()
-	available := a.RatePerSecond*window.Seconds() + a.Burst + (1-shareFraction)*permittedExcess(a)
-	r := Refill{Rate: a.RatePerSecond, Capacity: min(available-a.RatePerSecond*span, a.Burst+maxExtraBurst)}
+	available := a.RatePerSecond*window.Seconds() + a.Burst + (1-ShareFraction-reservedFraction)*permittedExcess(a)
+	reserve := min(burstRatio*a.RatePerSecond+maxExtraBurst, a.Burst+maxExtraBurst)
+	rate := min(maxRateRatio*a.RatePerSecond, a.RatePerSecond+a.Burst/window.Seconds(), (available-reserve)/span)
+	rate = max(rate, a.RatePerSecond)
+	r := Refill{Rate: rate, Capacity: min(available-rate*span, a.Burst+maxExtraBurst)}
 	if r.Capacity < parts {
 		r.Capacity = parts
 		r.Rate = max(min(r.Rate, (available-parts)/span), 0)
@@ -76,7 +91,7 @@
 // no granting node answers. In a window a node can use its capacity and one
 // refill, which is why each is half of its part.
 func nodeShare(a mesh.Account, nodes int) Refill {
-	part := shareFraction * permittedExcess(a) / float64(max(nodes, 1))
+	part := ShareFraction * permittedExcess(a) / float64(max(nodes, 1))
 	return Refill{Rate: part / 2 / window.Seconds(), Capacity: part / 2}
 }
 
