--- a/front/clientload/clientload.go
+++ b/front/clientload/clientload.go
@@ -17,10 +17,10 @@
 	"github.com/marigoldshelf/marigoldshelf/verdict"
 )
 
-// reserveBytes is the unit in which a connection reserves memory. An ordinary
-// connection with one request in flight needs two units, so that most requests
-// take no transaction.
-const reserveBytes = 64 << 10
+// reserveBytes is the unit in which a connection reserves memory. It is what a
+// connection without a request holds at least: with 64 KiB, some hundred idle
+// connections of ordinary callers filled the memory of all clients.
+const reserveBytes = 32 << 10
 
 // Reasons that the counter of limited clients has.
 const (
@@ -184,9 +184,13 @@
 	return decision == decide.Granted
 }
 
-// keptUnits is the number of unused units that a connection keeps, so that a
-// request that follows another takes no transaction.
-const keptUnits = 2
+// keptUnits is the number of unused units that a connection keeps while clients
+// hold less than a part of the total, so that a request that follows another takes
+// no transaction.
+const (
+	keptUnits       = 4
+	keptTotalsShare = 4 // keptUnits are kept below a quarter of the total
+)
 
 // Release returns n bytes.
 func (a *Account) Release(n int64) {
@@ -199,9 +203,12 @@
 	if a.ended {
 		return
 	}
-	unused := (a.reserved - a.held) / reserveBytes
-	if unused > keptUnits {
-		a.reserve(-(unused - 1) * reserveBytes)
+	kept := int64(keptUnits)
+	if l := a.ledger; l.Tables.ClientLoad.Load().Bytes > l.Limits.TotalBytes/keptTotalsShare {
+		kept = 0
+	}
+	if unused := (a.reserved - a.held) / reserveBytes; unused > kept {
+		a.reserve(-(unused - kept/2) * reserveBytes)
 	}
 }
 
--- a/front/clientload/clientload_test.go
+++ b/front/clientload/clientload_test.go
@@ -44,3 +44,22 @@
 	must.Eq(t, 0, load.Bytes)
 	must.Eq(t, 0, load.Connections)
 }
+
+// Guards against ordinary callers' connections that are closed in the middle of a
+// request because some hundred idle ones keep what their last request needed.
+func TestIdleConnectionsLeaveRoomForRequests(t *testing.T) {
+	board := tables.New(blackboard.New(blackboard.PanicOnNested()))
+	limits := decide.Limits{TotalBytes: 32 << 20, ConnectionBytes: 8 << 20}
+	var limited []verdict.Reason
+	ledger := clientload.New(controller.NewPool(clock.System{}, 1), board, clock.System{}, limits, func(r verdict.Reason) { limited = append(limited, r) })
+	for range 500 {
+		account, accepted := ledger.Open("callers", 512, func() {})
+		must.True(t, accepted)
+		for range 3 {
+			must.True(t, account.Charge(decide.RequestBytes))
+			account.Release(decide.RequestBytes)
+		}
+	}
+	must.SliceEmpty(t, limited)
+	must.Less(t, limits.TotalBytes*3/4, board.ClientLoad.Load().Bytes)
+}
