--- a/decide/call/call.go
+++ b/decide/call/call.go
@@ -21,10 +21,10 @@
 // outstanding attempt, at most.
 const DeadlineGrace = 50 * time.Millisecond
 
-// marginDivisor limits the response margin to an eighth of the time that the caller
+// marginDivisor limits the response margin to a quarter of the time that the caller
 // waits. The calls of backend servers wait for 200 ms, of which a margin of 100 ms
 // left too little to wait for a slot and to run.
-const marginDivisor = 8
+const marginDivisor = 4
 
 // BodyGrace is how long after the deadline and DeadlineGrace the rest of a response
 // may still arrive, if its header came in time. The node that sends it ends a body
@@ -292,12 +292,7 @@
 // host that refuses others can still have room for the rank of the call.
 func (c Call) firstAttempt(now time.Time, w Environment) Call {
 	candidates := w.Candidates(c.Rule.Service)
-	open := make([]choose.Candidate, 0, len(candidates))
-	for _, candidate := range candidates {
-		if !candidate.Stats.RefusesClass(now, c.Rule.Class) {
-			open = append(open, candidate)
-		}
-	}
+	open := choose.Filter(candidates, func(candidate *choose.Candidate) bool { return !candidate.Stats.RefusesClass(now, c.Rule.Class) })
 	if len(open) == 0 && c.Nested {
 		open = candidates
 	}
--- a/decide/choose/choose.go
+++ b/decide/choose/choose.go
@@ -113,10 +113,10 @@
 // eligible leaves out the hosts that were tried, then those that drain, then
 // those that are ejected. A rule that would leave no candidate is skipped.
 func eligible(q Query, candidates []Candidate) []Candidate {
-	pool := prefer(candidates, func(c Candidate) bool { return !slices.Contains(q.Tried, c.Host) })
-	pool = prefer(pool, func(c Candidate) bool { return !q.Now.Before(c.Stats.DrainingUntil) })
+	pool := Prefer(candidates, func(c *Candidate) bool { return !slices.Contains(q.Tried, c.Host) })
+	pool = Prefer(pool, func(c *Candidate) bool { return !q.Now.Before(c.Stats.DrainingUntil) })
 	ejected := 0
-	return prefer(pool, func(c Candidate) bool {
+	return Prefer(pool, func(c *Candidate) bool {
 		if c.Stats.isUnavailable(q.Now) && ejected < len(pool)/maxEjectedDivisor+1 && len(pool) > 1 {
 			ejected++
 			return false
@@ -125,16 +125,31 @@
 	})
 }
 
-// prefer returns the candidates that accept allows, or all of them when it
-// allows none.
-func prefer(candidates []Candidate, accept func(Candidate) bool) []Candidate {
-	accepted := make([]Candidate, 0, len(candidates))
-	for _, c := range candidates {
-		if accept(c) {
-			accepted = append(accepted, c)
+// Prefer returns the candidates that accept allows, or all of them when it allows
+// none. It copies nothing if accept allows all, as it does for most requests: the
+// candidates of one pick are several kilobytes.
+func Prefer(candidates []Candidate, accept func(*Candidate) bool) []Candidate {
+	if accepted := Filter(candidates, accept); len(accepted) > 0 {
+		return accepted
+	}
+	return candidates
+}
+
+// Filter returns the candidates that accept allows. It copies nothing if accept
+// allows all.
+func Filter(candidates []Candidate, accept func(*Candidate) bool) []Candidate {
+	var accepted []Candidate
+	left := false
+	for i := range candidates {
+		switch ok := accept(&candidates[i]); {
+		case !ok && !left:
+			left = true
+			accepted = append(make([]Candidate, 0, len(candidates)-1), candidates[:i]...)
+		case ok && left:
+			accepted = append(accepted, candidates[i])
 		}
 	}
-	if len(accepted) == 0 {
+	if !left {
 		return candidates
 	}
 	return accepted
@@ -144,13 +159,13 @@
 // other zones. If speeds are reported, faster candidates are drawn more often.
 func draw(q Query, pool []Candidate, meanSpeed float64) []Candidate {
 	drawn := make([]Candidate, 0, 4)
-	ownZone := make([]Candidate, 0, len(pool))
-	otherZones := make([]Candidate, 0, len(pool))
-	for _, c := range pool {
-		if c.Zone == q.Zone {
-			ownZone = append(ownZone, c)
+	ownZone := make([]*Candidate, 0, len(pool))
+	otherZones := make([]*Candidate, 0, len(pool))
+	for i := range pool {
+		if pool[i].Zone == q.Zone {
+			ownZone = append(ownZone, &pool[i])
 		} else {
-			otherZones = append(otherZones, c)
+			otherZones = append(otherZones, &pool[i])
 		}
 	}
 	if meanSpeed > 0 {
@@ -162,16 +177,23 @@
 }
 
 // drawTwo appends two different candidates, or all where there are fewer.
-func drawTwo(random *rand.Rand, from, to []Candidate) []Candidate {
+func drawTwo(random *rand.Rand, from []*Candidate, to []Candidate) []Candidate {
 	if len(from) < 2 {
-		return append(to, from...)
+		return appendAll(to, from)
 	}
 	first := random.IntN(len(from))
 	second := random.IntN(len(from) - 1)
 	if second >= first {
 		second++
 	}
-	return append(to, from[first], from[second])
+	return append(to, *from[first], *from[second])
+}
+
+func appendAll(to []Candidate, from []*Candidate) []Candidate {
+	for _, c := range from {
+		to = append(to, *c)
+	}
+	return to
 }
 
 // baseline holds the values assumed for a host without recent observations.
@@ -218,7 +240,8 @@
 // reports weighted more; zero when none reported a load.
 func meanLoad(now time.Time, pool []Candidate) float64 {
 	total, weights := 0.0, 0.0
-	for _, c := range pool {
+	for i := range pool {
+		c := &pool[i]
 		if c.Stats.Load.Slots > 0 {
 			weight := decay(now.Sub(c.Stats.LoadAt), loadDecayTime)
 			total += weight * c.Stats.reportedLoad()
@@ -235,8 +258,8 @@
 // in nanoseconds; one millisecond when no candidate has a latency.
 func medianLatency(class mesh.Class, pool []Candidate) float64 {
 	known := make([]time.Duration, 0, len(pool))
-	for _, c := range pool {
-		if latency := c.Stats.latency[class.Index()]; latency > 0 {
+	for i := range pool {
+		if latency := pool[i].Stats.latency[class.Index()]; latency > 0 {
 			known = append(known, latency)
 		}
 	}
--- a/decide/choose/speed.go
+++ b/decide/choose/speed.go
@@ -47,9 +47,9 @@
 // drawTwoBySpeed appends two different candidates, or all where there are fewer,
 // each drawn in proportion to its speed. At equal utilisation faster hosts then
 // get proportionally more, and no host is the choice of every node.
-func drawTwoBySpeed(q Query, from, to []Candidate, typical float64) []Candidate {
+func drawTwoBySpeed(q Query, from []*Candidate, to []Candidate, typical float64) []Candidate {
 	if len(from) <= 2 {
-		return append(to, from...)
+		return appendAll(to, from)
 	}
 	total := 0.0
 	for i := range from {
@@ -58,12 +58,12 @@
 	first := drawBySpeed(q, from, -1, total, typical)
 	total -= from[first].Stats.expectedSpeed(q.Now, q.Class, typical)
 	second := drawBySpeed(q, from, first, total, typical)
-	return append(to, from[first], from[second])
+	return append(to, *from[first], *from[second])
 }
 
 // drawBySpeed returns the index of a candidate other than except, drawn in
 // proportion to its speed; total is the sum of the speeds.
-func drawBySpeed(q Query, from []Candidate, except int, total, typical float64) (drawn int) {
+func drawBySpeed(q Query, from []*Candidate, except int, total, typical float64) (drawn int) {
 	rest := q.Random.Float64() * total
 	for i := range from {
 		if i == except {
