--- a/decide/clientload/clientload.go
+++ b/decide/clientload/clientload.go
@@ -113,6 +113,9 @@
 type Entry struct {
 	ID uint64
 	Holding
+	// IdleSince is when the connection last ended a request; zero while it has one
+	// in flight, or has had none.
+	IdleSince time.Time
 }
 
 // SelectLargest returns the connections to close so that the others together hold
@@ -138,23 +141,39 @@
 	return selected
 }
 
+// silentTime is how long an ordinary caller takes at most from its connection to its
+// first request. After a burst of callers with a connection for each request, a
+// listener is full of idle connections, and a new one must not make another new one
+// give way.
+const silentTime = time.Second
+
 // SelectForNew decides on a new connection to a listener that accepts limit
-// connections. If the listener is full, the oldest connection that has sent no
-// complete request gives way; without one, the new connection is refused.
-func SelectForNew(entries []Entry, listener string, limit int) (victim uint64, found, accept bool) {
+// connections. If the listener is full, one of the others gives way: the oldest that
+// has sent no complete request for silentTime, or the one that has been idle for
+// longest, or the oldest that has sent no complete request. Without any of these,
+// the new connection is refused.
+func SelectForNew(now time.Time, entries []Entry, listener string, limit int) (victim uint64, found, accept bool) {
 	count := 0
-	var oldest Entry
+	var unserved, idle Entry
 	for _, e := range entries {
 		if e.Listener != listener || e.Closing {
 			continue
 		}
 		count++
-		if !e.Served && (!found || e.Since.Before(oldest.Since)) {
-			oldest, found = e, true
+		switch {
+		case !e.Served && (unserved.ID == 0 || e.Since.Before(unserved.Since)):
+			unserved = e
+		case e.Served && !e.IdleSince.IsZero() && (idle.ID == 0 || e.IdleSince.Before(idle.IdleSince)):
+			idle = e
 		}
 	}
-	if count < limit {
+	switch {
+	case count < limit:
 		return 0, false, true
+	case unserved.ID != 0 && (idle.ID == 0 || now.Sub(unserved.Since) >= silentTime):
+		return unserved.ID, true, true
+	case idle.ID != 0:
+		return idle.ID, true, true
 	}
-	return oldest.ID, found, found
+	return 0, false, false
 }
--- a/decide/clientload/clientload_test.go
+++ b/decide/clientload/clientload_test.go
@@ -58,14 +58,34 @@
 		{ID: 3, Holding: clientload.Holding{Listener: "callers", Since: now.Add(1)}},
 		{ID: 4, Holding: clientload.Holding{Listener: "reports", Since: now}},
 	}
-	_, found, accept := clientload.SelectForNew(entries, "callers", 4)
+	_, found, accept := clientload.SelectForNew(now.Add(time.Minute), entries, "callers", 4)
 	must.False(t, found)
 	must.True(t, accept)
-	victim, found, accept := clientload.SelectForNew(entries, "callers", 3)
+	victim, found, accept := clientload.SelectForNew(now.Add(time.Minute), entries, "callers", 3)
 	must.True(t, found)
 	must.True(t, accept)
 	must.Eq(t, 3, victim)
-	_, found, accept = clientload.SelectForNew(entries[:1], "callers", 1)
+	_, found, accept = clientload.SelectForNew(now.Add(time.Minute), entries[:1], "callers", 1)
 	must.False(t, found)
 	must.False(t, accept)
 }
+
+// Guards against a new connection that makes another new one give way, and ends its
+// request: after a burst of callers with a connection for each request, the listener
+// is full of idle ones.
+func TestNewConnectionsTakeThePlaceOfIdleOnes(t *testing.T) {
+	now := time.Unix(1000, 0)
+	served := func(id uint64, idleSince time.Time) clientload.Entry {
+		return clientload.Entry{ID: id, Holding: clientload.Holding{Listener: "callers", Served: true}, IdleSince: idleSince}
+	}
+	fresh := clientload.Entry{ID: 9, Holding: clientload.Holding{Listener: "callers", Since: now.Add(-10 * time.Millisecond)}}
+	entries := []clientload.Entry{served(1, time.Time{}), fresh, served(2, now.Add(-time.Second)), served(3, now.Add(-4*time.Second))}
+	victim, found, accept := clientload.SelectForNew(now, entries, "callers", 4)
+	must.True(t, found)
+	must.True(t, accept)
+	must.Eq(t, 3, victim)
+	victim, _, _ = clientload.SelectForNew(now, entries[:2], "callers", 2)
+	must.Eq(t, 9, victim)
+	_, _, accept = clientload.SelectForNew(now, entries[:1], "callers", 1)
+	must.False(t, accept, must.Sprint("a connection with a request in flight stays"))
+}
--- a/front/clientload/clientload.go
+++ b/front/clientload/clientload.go
@@ -78,6 +78,9 @@
 	closeConn func()
 	closing   atomic.Bool
 	served    atomic.Bool
+	// idleSince is when the connection last held nothing but itself; nil while it
+	// holds more.
+	idleSince atomic.Pointer[time.Time]
 
 	mu             sync.Mutex
 	held, reserved int64
@@ -107,7 +110,7 @@
 		var victim uint64
 		found, accepted := false, true
 		if load.Connections >= limit { // else the listener has fewer than limit
-			victim, found, accepted = decide.SelectForNew(clients.Entries(tx, t), listener, limit)
+			victim, found, accepted = decide.SelectForNew(l.Clock.Now(), l.withIdle(clients.Entries(tx, t)), listener, limit)
 		}
 		if found {
 			clients.MarkClosing(tx, t, victim)
@@ -150,6 +153,7 @@
 		return false
 	}
 	a.held += n
+	a.idleSince.Store(nil)
 	return true
 }
 
@@ -203,6 +207,10 @@
 	if a.ended {
 		return
 	}
+	if a.held <= decide.ConnectionBytes {
+		now := a.ledger.Clock.Now()
+		a.idleSince.Store(&now)
+	}
 	kept := int64(keptUnits)
 	if l := a.ledger; l.Tables.ClientLoad.Load().Bytes > l.Limits.TotalBytes/keptTotalsShare {
 		kept = 0
@@ -212,6 +220,18 @@
 	}
 }
 
+// withIdle sets IdleSince of the entries.
+func (l *Ledger) withIdle(entries []decide.Entry) []decide.Entry {
+	for i, e := range entries {
+		if value, exists := l.accounts.Load(e.ID); exists {
+			if since := value.(*Account).idleSince.Load(); since != nil {
+				entries[i].IdleSince = *since
+			}
+		}
+	}
+	return entries
+}
+
 // MarkServed notes that a complete request was received. Only the first call has
 // an effect.
 func (a *Account) MarkServed() {
--- a/front/pipeline/conn.go
+++ b/front/pipeline/conn.go
@@ -277,6 +277,16 @@
 	}
 }
 
+// giveWay closes the connection for the sake of others: without losing a request, if
+// none is in flight.
+func (c *conn) giveWay() {
+	if c.inFlightCount() == 0 {
+		c.closeWhenIdle()
+		return
+	}
+	c.abort()
+}
+
 // abort closes the connection at once and cancels its requests.
 func (c *conn) abort() {
 	c.cancel()
--- a/front/pipeline/pipeline.go
+++ b/front/pipeline/pipeline.go
@@ -81,20 +81,16 @@
 
 func (s *Server) startConn(netConn net.Conn) {
 	ctx, cancel := context.WithCancel(context.Background())
-	abort := func() {
-		cancel()
-		_ = netConn.Close() // ends pending reads and writes
-	}
+	c := newConn(s, netConn, ctx, cancel)
 	var opened *account.Account
 	if s.ledger != nil {
 		var accepted bool
-		if opened, accepted = s.ledger.Open(listenerName, s.limits().Connections, abort); !accepted {
+		if opened, accepted = s.ledger.Open(listenerName, s.limits().Connections, c.giveWay); !accepted {
 			refuse(netConn)
 			cancel()
 			return
 		}
 	}
-	c := newConn(s, netConn, ctx, cancel)
 	c.account = opened
 	s.mu.Lock()
 	defer s.mu.Unlock()
