--- a/decide/call/call.go
+++ b/decide/call/call.go
@@ -339,8 +339,8 @@
 // One that is cut off says nothing, and what is left is enough for another one.
 const admissionDivisor = 3
 
-// AdmissionTimeout returns how long the next attempt waits for its admission; zero
-// for no limit. A request that can run only once is sent in two steps, so that it is
+// AdmissionTimeout returns how long the next attempt waits for its admission, if its
+// body is sent on admission; zero for no limit. A request that can run only once is
 // known not to have run where no admission was received.
 func (c Call) AdmissionTimeout(now time.Time) time.Duration {
 	if c.Rule.Class.Idempotent() {
--- a/front/caller/attempt.go
+++ b/front/caller/attempt.go
@@ -161,7 +161,7 @@
 	request.Body = hop.NonReplayableBody{ReadCloser: x.body.newReader()}
 	request.ContentLength = x.body.size
 	request.Trailer = hop.ForwardedTrailers(r)
-	if x.body.isLarge() || !c.Rule.Class.Idempotent() && x.body.size != 0 {
+	if x.body.isLarge() {
 		request.Header.Set("Expect", "100-continue")
 	}
 	now := h.Clock.Now()
