--- a/decide/call/token.go
+++ b/decide/call/token.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/marigoldshelf/marigoldshelf/decide/quota"
+	"github.com/marigoldshelf/marigoldshelf/decide/route"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/verdict"
 )
@@ -55,6 +56,32 @@
 	return c, true
 }
 
+// RefuseOverQuota returns the refused call of a request whose account is known to have
+// used up its quota; false for every other request, which is decided by Begin. An
+// account that sends many times its quota would otherwise cost as much processor time
+// as if it were served. lease returns what the node holds of an account's quota.
+func RefuseOverQuota(now time.Time, r Request, routes *route.Table, lease func(mesh.AccountName) quota.Lease) (refused Call, over bool) {
+	if routes == nil || !routes.HasAccounts() {
+		return Call{}, false
+	}
+	account, known := routes.AccountOf(r.Key)
+	if !known || !account.HasQuota() {
+		return Call{}, false
+	}
+	matched, found := routes.Match(r.HostName, r.Path)
+	if !found || matched.Unreadable != "" {
+		return Call{}, false
+	}
+	retryAfter, over := lease(account.Name).Refuses(now)
+	if !over {
+		return Call{}, false
+	}
+	c := Call{Request: r, Rule: matched.Rule, Version: routes.Version, Account: account.Name}
+	c = c.refuse(verdict.NotRun, verdict.OverQuota)
+	c.Step.RetryAfter = retryAfter
+	return c, true
+}
+
 // resume decides the first step of a call once the decision about its token is
 // known. A token that has expired, because the process was paused, is not used.
 func (c Call) resume(now time.Time, w Environment) Call {
--- a/decide/call/token_test.go
+++ b/decide/call/token_test.go
@@ -76,3 +76,30 @@
 		must.Eq(t, returned, c.Token.Returns(), must.Sprint(v))
 	}
 }
+
+// Guards against requests over the quota that cost as much as served ones, and against
+// a refusal without the controller of any other request.
+func TestOnlyAnAccountKnownToBeOverItsQuotaIsRefusedAtOnce(t *testing.T) {
+	s, begin := serviceWithQuota(t, 10)
+	r := begin().Request
+	over := quota.Lease{RefusedUntil: arrivedAt.Add(300 * time.Millisecond)}
+	refuse := func(r call.Request, l quota.Lease) (call.Call, bool) {
+		return call.RefuseOverQuota(arrivedAt, r, s.environment.Routes, func(mesh.AccountName) quota.Lease { return l })
+	}
+	refused, found := refuse(r, over)
+	must.True(t, found)
+	must.Eq(t, verdict.OverQuota, refused.Step.Refusal.Reason)
+	must.Eq(t, verdict.NotRun, refused.Step.Refusal.Verdict)
+	must.Eq(t, 300*time.Millisecond, refused.Step.RetryAfter)
+	withToken := over
+	withToken.Tokens = []quota.Tokens{{Count: 1, Expires: arrivedAt.Add(time.Millisecond)}}
+	unknownKey, otherHost := r, r
+	unknownKey.Key, otherHost.HostName = mesh.KeyHash{9}, "other"
+	for _, c := range []struct {
+		request call.Request
+		lease   quota.Lease
+	}{{r, quota.Lease{}}, {r, withToken}, {unknownKey, over}, {otherHost, over}} {
+		_, found := refuse(c.request, c.lease)
+		must.False(t, found)
+	}
+}
--- a/decide/quota/lease.go
+++ b/decide/quota/lease.go
@@ -102,6 +102,17 @@
 	return l, Decision{Outcome: Waiting}
 }
 
+// Refuses reports whether a new request is refused at once, and after which time its
+// caller can retry.
+func (l Lease) Refuses(now time.Time) (retryAfter time.Duration, refuses bool) {
+	for _, t := range l.Tokens {
+		if t.Count > 0 && now.Before(t.Expires) {
+			return 0, false
+		}
+	}
+	return l.RefusedUntil.Sub(now), now.Before(l.RefusedUntil)
+}
+
 // takeToken takes the token that expires first.
 func (l Lease) takeToken(now time.Time) (next Lease, expires time.Time, found bool) {
 	l = l.counted(now)
--- a/front/caller/handler.go
+++ b/front/caller/handler.go
@@ -49,6 +49,10 @@
 	// Stopping reports whether the node is stopping. Responses then close their
 	// connection.
 	Stopping func() bool
+	// RefuseOverQuota returns the refused call of a request whose account is known to
+	// have used up its quota, before the call is written into the table; nil means
+	// that the controller decides all requests.
+	RefuseOverQuota func(call.Request) (refused call.Call, over bool)
 	// Refusing reports whether the node refuses new requests because it is about
 	// to exit; nil means never.
 	Refusing func() bool
@@ -137,6 +141,13 @@
 		h.writeRefusal(w, call.Step{Refusal: failure})
 		return
 	}
+	if h.RefuseOverQuota != nil {
+		if refused, over := h.RefuseOverQuota(x.call.Request); over {
+			h.Record.Refused(refused, h.Clock.Now())
+			h.writeRefusal(w, refused.Step)
+			return
+		}
+	}
 	h.exchanges.add(x)
 	defer h.endExchange(x)
 	h.putCall(x.call)
--- a/node/traffic.go
+++ b/node/traffic.go
@@ -5,17 +5,20 @@
 	"net/http"
 	"time"
 
+	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/controllers/admission"
 	"github.com/marigoldshelf/marigoldshelf/controllers/calls"
 	"github.com/marigoldshelf/marigoldshelf/controllers/quota"
 	"github.com/marigoldshelf/marigoldshelf/controllers/stop"
 	"github.com/marigoldshelf/marigoldshelf/decide/admit"
 	"github.com/marigoldshelf/marigoldshelf/decide/call"
+	decide "github.com/marigoldshelf/marigoldshelf/decide/quota"
 	"github.com/marigoldshelf/marigoldshelf/encoding/hop"
 	"github.com/marigoldshelf/marigoldshelf/front/approved"
 	"github.com/marigoldshelf/marigoldshelf/front/caller"
 	"github.com/marigoldshelf/marigoldshelf/front/keyed"
 	"github.com/marigoldshelf/marigoldshelf/front/peer"
+	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/verdict"
 )
 
@@ -82,11 +85,21 @@
 		Count: func(event caller.Event, reason verdict.Reason) {
 			n.options.Metrics.Count(string(event), reason)
 		},
-		Stopping: func() bool { return n.tables.Drain.Load().Stopping },
-		Refusing: func() bool { return n.tables.Drain.Load().RefusesCallers(n.options.Clock.Now()) },
+		Stopping:        func() bool { return n.tables.Drain.Load().Stopping },
+		RefuseOverQuota: n.refuseOverQuota,
+		Refusing:        func() bool { return n.tables.Drain.Load().RefusesCallers(n.options.Clock.Now()) },
 	}, n.sendPool)
 }
 
+// refuseOverQuota reads what the node holds of the quota of a request's account.
+func (n *Node) refuseOverQuota(r call.Request) (refused call.Call, over bool) {
+	t := n.tables
+	return call.RefuseOverQuota(n.options.Clock.Now(), r, t.Routes.Load(), func(account mesh.AccountName) (lease decide.Lease) {
+		t.Board.Do(func(tx *blackboard.Tx) { lease, _ = t.Leases.Get(tx, account) }, t.Leases.Read())
+		return lease
+	})
+}
+
 // peerMux returns the handler of the peers' listener. It serves callers' requests
 // that other nodes forward, and requests between nodes: the control services under
 // /twirp/, or with an adapter the approved configuration.
