--- a/test/process/uncontrolled.go
+++ b/test/process/uncontrolled.go
@@ -41,8 +41,9 @@
 	t.Cleanup(storeServer.CloseClientConnections)
 	backendServer := httptest.NewUnstartedServer(nil)
 	address := backendServer.Listener.Addr().String()
+	free := freeAddresses(t, 5)
 	n := &StoreNode{
-		Callers: freeAddress(t), Reports: freeAddress(t), Readiness: freeAddress(t), exited: make(chan struct{}),
+		Callers: free[0], Reports: free[1], Readiness: free[2], exited: make(chan struct{}),
 		Backend: standin.NewBackend("i-1", service, address, "fes", 400, serviceTime),
 	}
 	backendServer.Config.Handler = n.Backend
@@ -51,7 +52,7 @@
 	s := map[string]any{
 		"host": "fes-1", "zone": "fes",
 		"listen": map[string]string{
-			"callers": n.Callers, "peers": freeAddress(t), "operators": freeAddress(t),
+			"callers": n.Callers, "peers": free[3], "operators": free[4],
 			"reports": n.Reports, "readiness": n.Readiness,
 		},
 		"backend":  map[string]any{"service": service, "address": address},
@@ -130,11 +131,18 @@
 	return len(entries)
 }
 
-// freeAddress returns a loopback address whose TCP and UDP ports are free.
-func freeAddress(t *testing.T) string {
+// listenIP is the loopback address that nodes listen on. Connections within the
+// machine come from 127.0.0.1 and do not take its ports.
+const listenIP = "127.0.77.1"
+
+// freeAddresses returns different addresses of listenIP whose ports are free.
+func freeAddresses(t *testing.T, count int) (addresses []string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	for range count {
+		l, err := net.Listen("tcp", listenIP+":0")
+		must.NoError(t, err)
+		defer l.Close() // once all are chosen, so that no port is chosen twice
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses
 }
