--- a/decide/quota/quota_test.go
+++ b/decide/quota/quota_test.go
@@ -105,7 +105,14 @@
 // Guards against tokens that outlive a restart of all processes: each bucket
 // starts empty, and no node grants before it knows all zones.
 func TestRestartOfAllProcessesKeepsTheBound(t *testing.T) {
+	for _, configured := range []int{0, 4} {
+		restartAllProcesses(t, configured)
+	}
+}
+
+func restartAllProcesses(t *testing.T, configuredZones int) {
 	s, accounts := fleetOfAccounts(2, 0, 5, 30)
+	s.configuredZones = configuredZones
 	for _, second := range []int{12, 20, 23} {
 		s.at(epoch.Add(time.Duration(second)*time.Second), s.startAll)
 	}
@@ -214,6 +221,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		zones := rapid.IntRange(1, 4).Draw(t, "zones")
 		s := newSimulation(rapid.Uint64().Draw(t, "seed"), zones, rapid.IntRange(2, 5).Draw(t, "nodes per zone"))
+		if rapid.Bool().Draw(t, "zones in the settings") {
+			s.configuredZones = zones
+		}
 		s.loss = rapid.SampledFrom([]float64{0, 0.02, 0.3}).Draw(t, "loss")
 		s.duplication = rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "duplication")
 		rate := rapid.SampledFrom([]float64{5, 40, 200}).Draw(t, "rate")
--- a/decide/quota/simulation_test.go
+++ b/decide/quota/simulation_test.go
@@ -16,12 +16,15 @@
 // and can be lost or duplicated; nodes can be killed, paused, cut off and started
 // again. Each node learns of the others' state after a delay, as by gossip.
 type simulation struct {
-	now      time.Time
-	random   *rand.Rand
-	queue    eventQueue
-	order    int
-	nodes    []*simNode
-	accounts map[mesh.AccountName]mesh.Account
+	// configuredZones is the number of zones in the settings of all nodes; zero if
+	// they name none.
+	configuredZones int
+	now             time.Time
+	random          *rand.Rand
+	queue           eventQueue
+	order           int
+	nodes           []*simNode
+	accounts        map[mesh.AccountName]mesh.Account
 	// loss and duplication are the fractions of datagrams concerned.
 	loss, duplication float64
 	// cut reports whether two nodes cannot reach each other; nil if all can.
@@ -129,7 +132,7 @@
 	n.starts++
 	n.process = n.starts
 	n.leases, n.requests, n.buckets = map[mesh.AccountName]quota.Lease{}, map[mesh.AccountName]quota.Request{}, map[mesh.AccountName]quota.Bucket{}
-	n.sentAt, n.duty = map[string]time.Time{}, quota.Duty{}
+	n.sentAt, n.duty = map[string]time.Time{}, quota.Duty{ConfiguredZones: s.configuredZones}
 	n.self = membership.Self{Member: n.member}
 	n.view = map[mesh.HostID]mesh.Member{n.member.Host: n.member}
 	s.onNode(n, s.between(300*time.Millisecond, 1500*time.Millisecond), func() { s.join(n) })
