Review: case 8, a crowd ends the nodes beside a service's backend server (Fault)

Cause: the memory of clients' requests is accounted where a request arrives, not at the node beside the backend server, where those of all other nodes meet. Change: the case.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -17,9 +17,11 @@
 
 // cases has the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(r *Record, trouble bool) (broken bool, err error){
-	"burst": runBurst,
-	"drain": runDrain,
-	"heads": runHeads,
+	"burst":  runBurst,
+	"drain":  runDrain,
+	"heads":  runHeads,
+	"memory": runMemory,
+	"path":   runPath,
 }
 
 // Record is the record of a run.
