--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -17,10 +17,11 @@
 
 // cases has the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(r *Record, trouble bool) (broken bool, err error){
-	"burst":  runBurst,
-	"drain":  runDrain,
-	"heads":  runHeads,
-	"memory": runMemory,
+	"burst":   runBurst,
+	"drain":   runDrain,
+	"heads":   runHeads,
+	"memory":  runMemory,
+	"restart": runRestart,
 }
 
 // Record is the record of a run.
