--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -43,8 +43,8 @@
 }
 
 func main() {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin2 CASE RECORD")
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin2 CASE RECORD TROUBLE")
 		os.Exit(2)
 	}
 	file, err := os.Create(os.Args[2])
@@ -54,7 +54,7 @@
 	}
 	r := &Record{file: file, start: time.Now()}
 	go stopEarly(r)
-	trouble := os.Getenv("TROUBLE") != "0"
+	trouble := os.Args[3] != "0"
 	r.Print("case %s, disruption: %v", os.Args[1], trouble)
 	broken, err := cases[os.Args[1]](r, trouble)
 	status := 0
