Tests of uncontrolled clients: every listener, both hops, both kinds of platform

The tests so far sent one form at a time to the listeners for callers and for reports of one node with platform.kind "store". Left out were the peers' and the operators' listener, requests that nodes forward, crowds at many hosts at once, platform.kind "log", and ordinary callers that come in a burst.

TestUncontrolledClientsAtEveryListener sends a mixed crowd to one listener at a time, TestUncontrolledClientsOfManyHosts large heads to 13 nodes for the backend server of a 14th, and TestUncontrolledBurstIsAnswered 300 short requests in chunks to one node. The limits on connections are lowered in the tests' settings. The bounds are those of the existing tests: 100 MiB, 900 descriptors, an ordinary request answered afterwards.

--- a/test/process/fleet.go
+++ b/test/process/fleet.go
@@ -36,7 +36,10 @@
 	t               *testing.T
 	programDir      string
 	PlatformAddress string // address of the platform
-	Nodes           map[mesh.HostID]*Node
+	// Clients and Traffic are settings of the nodes that Add adds.
+	Clients settings.Clients
+	Traffic settings.Traffic
+	Nodes   map[mesh.HostID]*Node
 }
 
 // Node is one host of a fleet: a node and its backend server.
@@ -71,6 +74,8 @@
 		Peers:    settings.Peers{Secret: peersSecret},
 		Backend:  settings.Backend{Service: service, Address: backend.Address, Slots: 6, NotRunHeader: "X-Not-Run"},
 		Platform: settings.Platform{URL: "http://" + f.PlatformAddress},
+		Clients:  f.Clients,
+		Traffic:  f.Traffic,
 		Credentials: []settings.Credential{
 			{Name: "op", Role: change.Operator, Token: OperatorToken},
 			{Name: "cu", Role: change.CustomerRole, Customer: customer, Token: CustomerToken},
--- a/test/process/uncontrolled_test.go
+++ b/test/process/uncontrolled_test.go
@@ -138,30 +138,27 @@
 	if f.reports {
 		address = n.Reports
 	}
-	var conns []net.Conn
-	for range f.conns {
-		conn, err := net.DialTimeout("tcp", address, time.Second)
-		if err != nil {
-			continue
-		}
-		conns = append(conns, conn)
-		_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
-		if f.payload == "" {
-			continue
-		}
-		go func() {
-			_ = conn.SetWriteDeadline(time.Now().Add(holdTime))
-			_, _ = io.WriteString(conn, strings.Repeat(f.payload, f.perConn))
-			if f.halfClose {
-				_ = conn.(*net.TCPConn).CloseWrite()
-			}
-		}()
+	return f.connectTo(address)
+}
+
+// open opens one connection of the form, nil if that fails.
+func (f clientForm) open(address string) net.Conn {
+	conn, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return nil
 	}
-	return func() {
-		for _, conn := range conns {
-			_ = conn.Close()
-		}
+	_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	if f.payload == "" {
+		return conn
 	}
+	go func() {
+		_ = conn.SetWriteDeadline(time.Now().Add(holdTime))
+		_, _ = io.WriteString(conn, strings.Repeat(f.payload, f.perConn))
+		if f.halfClose {
+			_ = conn.(*net.TCPConn).CloseWrite()
+		}
+	}()
+	return conn
 }
 
 // sendRaw sends one request on a connection of its own and returns the status of
@@ -192,7 +189,7 @@
 }
 
 // checkProcess checks that the process runs within the bounds.
-func checkProcess(t *testing.T, n *process.StoreNode) {
+func checkProcess(t *testing.T, n testedNode) {
 	t.Helper()
 	must.True(t, n.Alive(), must.Sprint("the process has ended"))
 	memory, descriptors := n.PeakMemory(t), n.Descriptors(t)
