A head of which a part was refused is not read on

Callers saw bookings that ran with an empty body, answers that belonged to other requests, and backend servers requests that nobody had sent, while clients held all the memory that the node has for them.

Cause: HeadReader dropped a part of a head whose charge was refused, and reported the error once. net/textproto ignores an error between two lines, and bufio.Reader reports one only once, so the next read went on behind the dropped part and the head was taken for complete.

The first error within a head is now final for its connection, whatever it is: a refused charge, the size limit or a failed read. It also goes before the error of net/http, which takes a line that breaks off for a malformed one: without that, proper requests got 400 in place of 503.

--- a/front/pipeline/conn.go
+++ b/front/pipeline/conn.go
@@ -86,6 +86,9 @@
 		request, err = http.ReadRequest(c.reader)
 		c.headerReader.Unlimit()
 	}
+	if cause := c.headerReader.Err(); err != nil && cause != nil {
+		err = cause
+	}
 	_ = c.netConn.SetReadDeadline(time.Time{})
 	if err == nil {
 		if limits.MaxBodyBytes > 0 && request.ContentLength > limits.MaxBodyBytes {
