Requests are charged at each node that they pass

Operators saw the process beside a service's only backend server killed for its memory: requests of legal size with very many header lines, sent to all hosts, meet at that node.

Cause: only the node that reads a request from its caller accounted for it. The peers' listener was limited in connections, because net/http can only close the connection of a request without memory, and a closed hop may have run.

package pipeline now serves the peers' listener, and those for reports and readiness, in place of net/http. It charges a forwarded request before it parses it, and refuses one without memory with the verdict not-run, so that the sending node tries another backend server or tells its caller the truth. The estimates are per node now: what was charged once for both hops is charged in parts at each. Callers, peers and the control listeners have parts of clients.memory_bytes of their own, so that a crowd at one group leaves the others alone; their sum is what it was. A body in chunks is charged as it is read, where 128 KiB were charged whatever its length. A handler that panics ends its request and not the process, as under net/http.

In account_test.go the limits follow the estimates (60 and 100 KiB in place of 100 and 150): the tests have room for no request, and for one.

--- a/controllers/clients/clients.go
+++ b/controllers/clients/clients.go
@@ -5,6 +5,7 @@
 package clients
 
 import (
+	"slices"
 	"time"
 
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
@@ -26,15 +27,26 @@
 }
 
 func reconcile(tx *blackboard.Tx, t *tables.Tables, limits clientload.Limits) {
-	load := t.ClientLoad.Get(tx)
-	if load.Refusals == load.Relieved {
-		return
+	loads := t.ClientLoad.Get(tx)
+	before := loads
+	for group, load := range loads {
+		if load.Refusals == load.Relieved {
+			continue
+		}
+		group := clientload.Group(group)
+		for _, id := range limits.ForGroup(group).SelectLargest(entriesOf(tx, t, group)) {
+			MarkClosing(tx, t, id)
+		}
+		loads[group].Relieved = load.Refusals
 	}
-	for _, id := range limits.SelectLargest(Entries(tx, t)) {
-		MarkClosing(tx, t, id)
+	if loads != before {
+		t.ClientLoad.Set(tx, loads)
 	}
-	load.Relieved = load.Refusals
-	t.ClientLoad.Set(tx, load)
+}
+
+// entriesOf returns the rows of ClientHoldings of one group in key order.
+func entriesOf(tx *blackboard.Tx, t *tables.Tables, group clientload.Group) []clientload.Entry {
+	return slices.DeleteFunc(Entries(tx, t), func(e clientload.Entry) bool { return e.Group != group })
 }
 
 // MarkClosing marks a connection to be closed. The transaction writes
--- a/decide/clientload/clientload.go
+++ b/decide/clientload/clientload.go
@@ -9,26 +9,68 @@
 	"time"
 )
 
+// Group is a group of listeners whose connections share a part of the node's memory
+// for clients, so that those of one group leave the others theirs.
+type Group uint8
+
+// The groups.
+const (
+	// Callers is the listener for callers' requests.
+	Callers Group = iota
+	// Peers is the listener for requests that other nodes forward.
+	Peers
+	// Control are the listeners for reports, for readiness and for operators.
+	Control
+
+	numGroups
+)
+
 // Estimated memory of what a client sends, in bytes. The figures are peak memory
 // of a node process divided by the number of items, which includes the garbage
-// between collections.
+// between collections. A request is charged at each node that it passes.
 const (
-	// ConnectionBytes is that of a connection: its buffers and the stack of the
+	// connectionBytes is that of a connection: its buffers and the stack of the
 	// goroutine that reads it.
-	ConnectionBytes = 16 << 10
-	// RequestBytes is that of a request in flight without its header lines: 1,600
-	// requests that the node forwards to itself took 127 MB.
-	RequestBytes = 80 << 10
+	connectionBytes = 16 << 10
+	// callerRequestBytes and forwardedRequestBytes are those of a request in flight
+	// without its header lines, at the node that reads it from the caller and at the
+	// node beside the backend server: 1,600 requests that a node forwards to itself
+	// took 127 MB.
+	callerRequestBytes    = 48 << 10
+	forwardedRequestBytes = 28 << 10
+	controlRequestBytes   = 16 << 10
 	// HeaderLineBytes is that of a header line in addition to its length: 256
-	// requests of 4,000 short lines took 281 MB. A line is parsed and copied at
-	// each hop.
-	HeaderLineBytes = 256
+	// requests of 4,000 short lines took 281 MB at both nodes. A line is parsed and
+	// copied for the next hop.
+	HeaderLineBytes = 128
 	// HeadCopies is the number of copies of a head's bytes.
-	HeadCopies = 6
+	HeadCopies = 3
 	// BufferGrowth is the ratio of a growing buffer's memory to its content.
 	BufferGrowth = 2
 )
 
+// ConnectionBytes returns the memory that a connection holds while it is open.
+// Connections between nodes are limited in number only: each node keeps some idle
+// ones to every other.
+func (g Group) ConnectionBytes() int64 {
+	if g == Peers {
+		return 0
+	}
+	return connectionBytes
+}
+
+// RequestBytes returns the memory of a request in flight without its header lines
+// and its body.
+func (g Group) RequestBytes() int64 {
+	switch g {
+	case Peers:
+		return forwardedRequestBytes
+	case Control:
+		return controlRequestBytes
+	}
+	return callerRequestBytes
+}
+
 // HeadBytes returns the memory of a part of a head with the given length and
 // number of lines.
 func HeadBytes(length, lines int) int64 {
@@ -43,6 +85,15 @@
 	HeaderLines int
 }
 
+// ForGroup returns the limits of one group: callers have five eighths of the total,
+// peers a quarter and control the rest.
+func (l Limits) ForGroup(g Group) Limits {
+	eighths := [numGroups]int64{Callers: 5, Peers: 2, Control: 1}[g]
+	l.TotalBytes = l.TotalBytes / 8 * eighths
+	l.ConnectionBytes = min(l.ConnectionBytes, l.TotalBytes)
+	return l
+}
+
 // sharedBytes is the part of the total that every connection can use. The rest is
 // kept for small holders, so that ordinary callers are the last to be refused.
 func (l Limits) sharedBytes() int64 { return l.TotalBytes / 4 * 3 }
@@ -58,6 +109,7 @@
 // Holding is what one connection holds.
 type Holding struct {
 	Listener string
+	Group    Group
 	Bytes    int64
 	// Since is when Bytes last changed.
 	Since time.Time
@@ -67,7 +119,10 @@
 	Closing bool
 }
 
-// Load is what all connections hold.
+// Loads is what the connections of each group hold.
+type Loads [numGroups]Load
+
+// Load is what all connections of a group hold.
 type Load struct {
 	Bytes       int64
 	Connections int
--- a/front/caller/incomplete_test.go
+++ b/front/caller/incomplete_test.go
@@ -57,7 +57,9 @@
 	t.Cleanup(func() { _ = l.Close() })
 	if adapter {
 		go func() {
-			_ = pipeline.New(handler, func() pipeline.Limits { return pipeline.Limits{IdleTimeout: time.Minute} }, nil).Serve(l)
+			_ = pipeline.New(pipeline.Config{
+				Handler: handler, Limits: func() pipeline.Limits { return pipeline.Limits{IdleTimeout: time.Minute} },
+			}).Serve(l)
 		}()
 	} else {
 		go func() { _ = (&http.Server{Handler: handler}).Serve(l) }()
--- a/front/clientload/clientload.go
+++ b/front/clientload/clientload.go
@@ -20,7 +20,13 @@
 // reserveBytes is the unit in which a connection reserves memory. It is what a
 // connection without a request holds at least: with 64 KiB, some hundred idle
 // connections of ordinary callers filled the memory of all clients.
-const reserveBytes = 32 << 10
+const reserveBytes = 16 << 10
+
+// Listener is a listener whose connections a ledger accounts for.
+type Listener struct {
+	Name  string
+	Group decide.Group
+}
 
 // Reasons that the counter of limited clients has.
 const (
@@ -74,6 +80,7 @@
 // use. A nil account grants everything.
 type Account struct {
 	ledger    *Ledger
+	group     decide.Group
 	id        uint64
 	closeConn func()
 	closing   atomic.Bool
@@ -90,27 +97,19 @@
 // Open opens the account of a new connection to a listener that accepts limit
 // connections. closeConn closes the connection and must not block. Open returns
 // false if the connection is refused.
-func (l *Ledger) Open(listener string, limit int, closeConn func()) (*Account, bool) {
-	return l.open(listener, limit, closeConn, decide.ConnectionBytes, reserveBytes)
-}
-
-// OpenUncharged opens the account of a connection that counts against limit only,
-// because its memory is charged elsewhere.
-func (l *Ledger) OpenUncharged(listener string, limit int, closeConn func()) (*Account, bool) {
-	return l.open(listener, limit, closeConn, 0, 0)
-}
-
-func (l *Ledger) open(listener string, limit int, closeConn func(), held, reserved int64) (*Account, bool) {
-	a := &Account{ledger: l, id: l.lastID.Add(1), closeConn: closeConn, held: held, reserved: reserved}
+func (l *Ledger) Open(listener Listener, limit int, closeConn func()) (*Account, bool) {
+	group, held := listener.Group, listener.Group.ConnectionBytes()
+	reserved := roundUp(held)
+	a := &Account{ledger: l, group: group, id: l.lastID.Add(1), closeConn: closeConn, held: held, reserved: reserved}
 	reason := verdict.Reason("")
 	l.accounts.Store(a.id, a)
 	t := l.Tables
 	t.Board.Do(func(tx *blackboard.Tx) {
-		load := t.ClientLoad.Get(tx)
+		loads := t.ClientLoad.Get(tx)
 		var victim uint64
 		found, accepted := false, true
-		if load.Connections >= limit { // else the listener has fewer than limit
-			victim, found, accepted = decide.SelectForNew(l.Clock.Now(), l.withIdle(clients.Entries(tx, t)), listener, limit)
+		if loads[group].Connections >= limit { // else the listener has fewer than limit
+			victim, found, accepted = decide.SelectForNew(l.Clock.Now(), l.withIdle(clients.Entries(tx, t)), listener.Name, limit)
 		}
 		if found {
 			clients.MarkClosing(tx, t, victim)
@@ -119,8 +118,8 @@
 			reason = ReasonConnections
 			return
 		}
-		row := decide.Holding{Listener: listener, Since: l.Clock.Now()}
-		decision, load := l.Limits.Increase(load, row, reserved)
+		row := decide.Holding{Listener: listener.Name, Group: group, Since: l.Clock.Now()}
+		decision, load := l.Limits.ForGroup(group).Increase(loads[group], row, reserved)
 		if decision == decide.Granted {
 			row.Bytes = reserved
 			load.Connections++
@@ -128,7 +127,8 @@
 		} else {
 			reason = ReasonNodeFull
 		}
-		t.ClientLoad.Set(tx, load)
+		loads[group] = load
+		t.ClientLoad.Set(tx, loads)
 	}, t.ClientHoldings.Write(), t.ClientLoad.Write(), t.ClientCloses.Write())
 	if reason != "" {
 		l.accounts.Delete(a.id)
@@ -149,7 +149,7 @@
 	if a.ended {
 		return false
 	}
-	if a.held+n > a.reserved && !a.reserve((a.held+n-a.reserved+reserveBytes-1)/reserveBytes*reserveBytes) {
+	if a.held+n > a.reserved && !a.reserve(roundUp(a.held+n-a.reserved)) {
 		return false
 	}
 	a.held += n
@@ -157,20 +157,23 @@
 	return true
 }
 
+// roundUp returns the units that n bytes need, in bytes.
+func roundUp(n int64) int64 { return (n + reserveBytes - 1) / reserveBytes * reserveBytes }
+
 // reserve adds n bytes to the reservation; negative n returns them. The caller
 // holds mu.
 func (a *Account) reserve(n int64) bool {
 	l, t := a.ledger, a.ledger.Tables
 	var decision decide.Decision
 	t.Board.Do(func(tx *blackboard.Tx) {
-		load := t.ClientLoad.Get(tx)
+		loads := t.ClientLoad.Get(tx)
 		row, _ := t.ClientHoldings.Get(tx, a.id)
 		if n > 0 {
-			decision, load = l.Limits.Increase(load, row, n)
+			decision, loads[a.group] = l.Limits.ForGroup(a.group).Increase(loads[a.group], row, n)
 		} else {
-			load.Bytes += n
+			loads[a.group].Bytes += n
 		}
-		t.ClientLoad.Set(tx, load)
+		t.ClientLoad.Set(tx, loads)
 		if decision == decide.Granted {
 			row.Bytes += n
 			row.Since = l.Clock.Now()
@@ -207,12 +210,12 @@
 	if a.ended {
 		return
 	}
-	if a.held <= decide.ConnectionBytes {
+	if a.held <= a.group.ConnectionBytes() {
 		now := a.ledger.Clock.Now()
 		a.idleSince.Store(&now)
 	}
 	kept := int64(keptUnits)
-	if l := a.ledger; l.Tables.ClientLoad.Load().Bytes > l.Limits.TotalBytes/keptTotalsShare {
+	if l := a.ledger; l.Tables.ClientLoad.Load()[a.group].Bytes > l.Limits.ForGroup(a.group).TotalBytes/keptTotalsShare {
 		kept = 0
 	}
 	if unused := (a.reserved - a.held) / reserveBytes; unused > kept {
@@ -247,6 +250,15 @@
 	}, t.ClientHoldings.Write())
 }
 
+// RequestBytes returns the memory of a request in flight without its header lines
+// and its body.
+func (a *Account) RequestBytes() int64 {
+	if a == nil {
+		return 0
+	}
+	return a.group.RequestBytes()
+}
+
 // HeaderLines returns the limit on the header lines of a request; zero means none.
 func (a *Account) HeaderLines() int {
 	if a == nil {
@@ -273,10 +285,10 @@
 	a.ledger.accounts.Delete(a.id)
 	t := a.ledger.Tables
 	t.Board.Do(func(tx *blackboard.Tx) {
-		load := t.ClientLoad.Get(tx)
-		load.Bytes -= a.reserved
-		load.Connections--
-		t.ClientLoad.Set(tx, load)
+		loads := t.ClientLoad.Get(tx)
+		loads[a.group].Bytes -= a.reserved
+		loads[a.group].Connections--
+		t.ClientLoad.Set(tx, loads)
 		t.ClientHoldings.Delete(tx, a.id)
 	}, t.ClientHoldings.Write(), t.ClientLoad.Write())
 }
--- a/front/clientload/clientload_test.go
+++ b/front/clientload/clientload_test.go
@@ -15,6 +15,8 @@
 	"github.com/marigoldshelf/marigoldshelf/verdict"
 )
 
+var callers = clientload.Listener{Name: "callers", Group: decide.Callers}
+
 // TestEverythingIsReturned charges and releases on many connections at once. It
 // guards against memory that stays charged after its connection has ended.
 func TestEverythingIsReturned(t *testing.T) {
@@ -24,13 +26,13 @@
 	var group sync.WaitGroup
 	for i := range 40 {
 		group.Go(func() {
-			account, accepted := ledger.Open("callers", 30, func() {})
+			account, accepted := ledger.Open(callers, 30, func() {})
 			if !accepted {
 				return
 			}
 			for n := range int64(200) {
 				if size := (n*7919 + int64(i)) % (300 << 10); account.Charge(size) {
-					must.LessEq(t, limits.TotalBytes, board.ClientLoad.Load().Bytes)
+					must.LessEq(t, limits.TotalBytes, board.ClientLoad.Load()[decide.Callers].Bytes)
 					account.Release(size)
 				}
 			}
@@ -40,7 +42,7 @@
 		})
 	}
 	group.Wait()
-	load := board.ClientLoad.Load()
+	load := board.ClientLoad.Load()[decide.Callers]
 	must.Eq(t, 0, load.Bytes)
 	must.Eq(t, 0, load.Connections)
 }
@@ -53,13 +55,13 @@
 	var limited []verdict.Reason
 	ledger := clientload.New(controller.NewPool(clock.System{}, 1), board, clock.System{}, limits, func(r verdict.Reason) { limited = append(limited, r) })
 	for range 500 {
-		account, accepted := ledger.Open("callers", 512, func() {})
+		account, accepted := ledger.Open(callers, 512, func() {})
 		must.True(t, accepted)
 		for range 3 {
-			must.True(t, account.Charge(decide.RequestBytes))
-			account.Release(decide.RequestBytes)
+			must.True(t, account.Charge(decide.Callers.RequestBytes()))
+			account.Release(decide.Callers.RequestBytes())
 		}
 	}
 	must.SliceEmpty(t, limited)
-	must.Less(t, limits.TotalBytes*3/4, board.ClientLoad.Load().Bytes)
+	must.Less(t, limits.ForGroup(decide.Callers).TotalBytes*3/4, board.ClientLoad.Load()[decide.Callers].Bytes)
 }
--- a/front/peer/body.go
+++ b/front/peer/body.go
@@ -36,11 +36,24 @@
 	onAdmission bool
 }
 
+// BufferedBytes returns the length of the part of a request's body that the Handler
+// buffers before admission.
+func BufferedBytes(r *http.Request) int64 {
+	if isSentOnAdmission(r) {
+		return 0
+	}
+	return maxEarlyBodyBytes
+}
+
+func isSentOnAdmission(r *http.Request) bool {
+	return strings.EqualFold(r.Header.Get("Expect"), "100-continue")
+}
+
 // newRequestBody returns the body of r. It reads what the peer sends before
 // admission.
 func newRequestBody(w http.ResponseWriter, r *http.Request, idleTimeout time.Duration) (*requestBody, *verdict.Error) {
 	b := &requestBody{rest: hop.NewIdleTimeoutBody(w, r, idleTimeout)}
-	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
+	if isSentOnAdmission(r) {
 		b.onAdmission = true
 		return b, nil
 	}
--- a/front/pipeline/account.go
+++ b/front/pipeline/account.go
@@ -19,9 +19,18 @@
 	errHeaderLines = eris.New("pipeline: too many header lines")
 )
 
-// maxBufferedRequestBytes is the part of a request body that the handler buffers.
+// maxBufferedRequestBytes is the part of a request body that the handler buffers by
+// default.
 const maxBufferedRequestBytes = 64 << 10
 
+// bufferedBytes is the default of Config.BufferedBytes.
+func bufferedBytes(r *http.Request) int64 {
+	if r.ContentLength > maxBufferedRequestBytes {
+		return 0
+	}
+	return maxBufferedRequestBytes
+}
+
 // headCharge charges the memory of a request while its head is read.
 type headCharge struct {
 	conn    *conn
@@ -49,15 +58,14 @@
 	return nil
 }
 
-// chargeBody charges the buffers of a request's body.
-func (h *headCharge) chargeBody(request *http.Request) error {
-	switch {
-	case request.ContentLength == 0, request.ContentLength > maxBufferedRequestBytes:
-		return nil
-	case request.ContentLength < 0:
-		return h.charge(maxBufferedRequestBytes * clientload.BufferGrowth)
+// chargeBody charges the buffers of a request's body whose length is stated. One in
+// chunks is charged as it is read; chargeBody returns the length up to which.
+func (h *headCharge) chargeBody(request *http.Request) (chargedAsRead int64, err error) {
+	buffered := h.conn.server.BufferedBytes(request)
+	if request.ContentLength < 0 {
+		return buffered, nil
 	}
-	return h.charge(request.ContentLength * clientload.BufferGrowth)
+	return 0, h.charge(min(request.ContentLength, buffered) * clientload.BufferGrowth)
 }
 
 // bufferedHead returns the part of the buffered bytes that belongs to the next
@@ -77,10 +85,9 @@
 // refuse the request, so that the connection is not read meanwhile.
 func (c *conn) startHead() (*headCharge, error) {
 	head := &headCharge{conn: c}
-	if !c.chargeOrWait(clientload.RequestBytes) {
-		return head, errNoMemory
+	if err := head.charge(c.account.RequestBytes()); err != nil {
+		return head, err
 	}
-	head.charged = clientload.RequestBytes
 	buffered, err := c.reader.Peek(c.reader.Buffered())
 	if err != nil {
 		return head, eris.Wrap(err, "pipeline: peek at buffered bytes")
--- a/front/pipeline/account_test.go
+++ b/front/pipeline/account_test.go
@@ -34,7 +34,9 @@
 	})
 	board := tables.New(blackboard.New(blackboard.PanicOnNested()))
 	ledger := clientload.New(controller.NewPool(clock.System{}, 1), board, clock.System{}, limits, func(verdict.Reason) {})
-	server := pipeline.New(handler, func() pipeline.Limits { return pipeline.Limits{Connections: 10} }, ledger)
+	server := pipeline.New(pipeline.Config{
+		Handler: handler, Limits: func() pipeline.Limits { return pipeline.Limits{Connections: 10} }, Ledger: ledger,
+	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	go func() { _ = server.Serve(listener) }()
@@ -52,7 +54,7 @@
 	}
 	must.NoError(t, conn.Close())
 	must.NoError(t, server.Shutdown(t.Context()))
-	must.Eq(t, decide.Load{}, board.ClientLoad.Load(), must.Sprint("everything is returned"))
+	must.Eq(t, decide.Loads{}, board.ClientLoad.Load(), must.Sprint("everything is returned"))
 	return responses, count.Load(), highest.Load()
 }
 
@@ -61,7 +63,7 @@
 // TestRequestWithoutMemoryIsRefused guards against a refused request that runs, or
 // that gets no answer.
 func TestRequestWithoutMemoryIsRefused(t *testing.T) {
-	limits := decide.Limits{TotalBytes: 1 << 20, ConnectionBytes: 100 << 10}
+	limits := decide.Limits{TotalBytes: 1 << 20, ConnectionBytes: 60 << 10}
 	responses, runs, _ := exchangeLimited(t, limits, limitedRequest, 1)
 	must.SliceLen(t, 1, responses)
 	must.Eq(t, http.StatusServiceUnavailable, responses[0].StatusCode)
@@ -72,7 +74,7 @@
 // TestRequestsWaitForMemory guards against the refusal of requests that only have
 // to wait for earlier ones of their connection.
 func TestRequestsWaitForMemory(t *testing.T) {
-	limits := decide.Limits{TotalBytes: 1 << 20, ConnectionBytes: 150 << 10}
+	limits := decide.Limits{TotalBytes: 1 << 20, ConnectionBytes: 100 << 10}
 	responses, runs, most := exchangeLimited(t, limits, strings.Repeat(limitedRequest, 20), 20)
 	must.SliceLen(t, 20, responses)
 	for _, response := range responses {
--- a/front/pipeline/conn.go
+++ b/front/pipeline/conn.go
@@ -14,6 +14,7 @@
 	"github.com/marigoldshelf/marigoldshelf/encoding/hop"
 	account "github.com/marigoldshelf/marigoldshelf/front/clientload"
 	"github.com/marigoldshelf/marigoldshelf/network"
+	"github.com/marigoldshelf/marigoldshelf/verdict"
 )
 
 // bufferBytes is the size of a connection's read and write buffers.
@@ -43,6 +44,7 @@
 	idleSince      time.Time // when a request last ended; zero before the first
 	closeRequested bool      // close when no request is in flight
 	closeSent      bool      // a response has the header Connection: close
+	refusedBody    bool      // a request was refused before its body was read to the end
 	requestWait    sync.WaitGroup
 	requestEnded   chan struct{} // closed when the next request ends; nil if nobody waits
 }
@@ -62,6 +64,9 @@
 	}
 	c.requestWait.Wait()
 	c.cancel()
+	if c.refusedBody {
+		c.discardUnread()
+	}
 	_ = c.netConn.Close() // every response was flushed
 	c.account.Close()
 }
@@ -69,7 +74,7 @@
 // serveNext reads one request and starts it. It returns false if no further
 // request can be read from the connection.
 func (c *conn) serveNext() bool {
-	limits := c.server.limits()
+	limits := c.server.Limits()
 	if !c.awaitFirstByte(limits) {
 		return false
 	}
@@ -90,11 +95,12 @@
 		err = cause
 	}
 	_ = c.netConn.SetReadDeadline(time.Time{})
+	var chargedAsRead int64
 	if err == nil {
 		if limits.MaxBodyBytes > 0 && request.ContentLength > limits.MaxBodyBytes {
 			err = errBodyTooLarge
 		} else {
-			err = head.chargeBody(request)
+			chargedAsRead, err = head.chargeBody(request)
 		}
 	}
 	if err != nil {
@@ -113,11 +119,11 @@
 		c.account.Release(head.charged)
 		return false
 	}
-	x.charged = head.charged
-	if x.body != nil && limits.MaxBodyBytes > 0 {
-		x.body.limit = limits.MaxBodyBytes
+	x.charged.Store(head.charged)
+	if x.body != nil {
+		x.body.limit, x.body.chargedAsRead = limits.MaxBodyBytes, chargedAsRead
 	}
-	c.requestWait.Go(func() { x.run(c.server.handler) })
+	c.requestWait.Go(func() { x.run(c.server.Handler) })
 	if x.body == nil {
 		return true
 	}
@@ -262,6 +268,12 @@
 	return !c.closeRequested && !c.closeSent && (c.inFlight > 0 || limit > 0 && time.Since(c.idleSince) < limit)
 }
 
+func (c *conn) markRefusedBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refusedBody = true
+}
+
 func (c *conn) inFlightCount() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -355,22 +367,22 @@
 // writeHeaderError responds to a request whose header could not be read, after
 // the responses to earlier requests.
 func (c *conn) writeHeaderError(err error) {
-	status, retryAfter := http.StatusBadRequest, ""
+	status, reason := http.StatusBadRequest, verdict.BadRequest
 	switch {
 	case errors.Is(err, errNoMemory):
-		status, retryAfter = http.StatusServiceUnavailable, "Retry-After: 1\r\n"
+		status, reason = http.StatusServiceUnavailable, verdict.ClientMemory
 	case errors.Is(err, errBodyTooLarge):
 		status = http.StatusRequestEntityTooLarge
 	case errors.Is(err, hop.ErrHeadTooLong), errors.Is(err, errHeaderLines):
 		status = http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		status = http.StatusRequestTimeout
+		status, reason = http.StatusRequestTimeout, verdict.SlowSender
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
 		c.cancel()
 		return
 	}
 	c.requestWait.Wait()
 	_ = c.netConn.SetWriteDeadline(time.Now().Add(errorWriteTimeout))
-	_, _ = io.WriteString(c.netConn, "HTTP/1.1 "+statusLine(status)+"\r\n"+retryAfter+"Connection: close\r\nContent-Length: 0\r\n\r\n")
+	_, _ = c.netConn.Write(c.server.refusal(status, reason))
 	c.discardUnread()
 }
--- a/front/pipeline/exchange.go
+++ b/front/pipeline/exchange.go
@@ -6,15 +6,18 @@
 	"errors"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/marigoldshelf/marigoldshelf/decide/clientload"
 	"github.com/marigoldshelf/marigoldshelf/network"
+	"github.com/marigoldshelf/marigoldshelf/verdict"
 )
 
 const (
@@ -46,9 +49,9 @@
 	buffered      bytes.Buffer // body bytes before the header is written
 	headerWritten bool
 	chunked       bool
-	undelimited   bool  // the body ends with the connection
-	err           error // first error of writing the response
-	charged       int64 // memory of the request and its buffered response
+	undelimited   bool         // the body ends with the connection
+	err           error        // first error of writing the response
+	charged       atomic.Int64 // memory of the request and its buffered response
 }
 
 func newExchange(c *conn, request *http.Request, previous *exchange) *exchange {
@@ -60,7 +63,7 @@
 	x.cancel = cancel
 	x.request = request.WithContext(ctx)
 	if request.Body != nil && request.Body != http.NoBody {
-		x.body = &requestBody{source: request.Body, conn: c, previousDone: x.previousDone, done: make(chan struct{})}
+		x.body = &requestBody{source: request.Body, conn: c, charge: x.charge, previousDone: x.previousDone, done: make(chan struct{})}
 		x.body.expectContinue = strings.EqualFold(request.Header.Get("Expect"), "100-continue")
 		x.request.Body = x.body
 	}
@@ -75,25 +78,42 @@
 			x.body.finish(false)
 		}
 		close(x.done)
-		x.conn.account.Release(x.charged)
+		x.conn.account.Release(x.charged.Load())
 		x.conn.requestDone()
 	}()
-	if aborted := x.callHandler(handler); aborted {
+	aborted := x.callHandler(handler)
+	switch {
+	case x.body != nil && x.body.refused.Load() && !x.headerWritten:
+		x.refuse()
+	case aborted:
 		x.abort()
-		return
+	default:
+		x.finish()
 	}
+}
+
+// refuse responds to a request whose body found no memory. The handler has not acted
+// on the request.
+func (x *exchange) refuse() {
+	x.header = x.conn.server.refusalHeader(http.StatusServiceUnavailable, verdict.ClientMemory)
+	x.buffered.Reset()
+	x.status = http.StatusServiceUnavailable
+	x.conn.markRefusedBody()
 	x.finish()
 }
 
-// callHandler calls the handler and reports whether it panicked with
-// http.ErrAbortHandler to abort the response. Other panics propagate.
+// callHandler calls the handler and reports whether it panicked, such as with
+// http.ErrAbortHandler to abort the response.
 func (x *exchange) callHandler(handler http.Handler) (aborted bool) {
 	defer func() {
-		if cause := recover(); cause != nil {
-			if err, ok := cause.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
-				panic(cause)
-			}
-			aborted = true
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		aborted = true
+		err, ok := cause.(error)
+		if onPanic := x.conn.server.OnPanic; onPanic != nil && (!ok || !errors.Is(err, http.ErrAbortHandler)) {
+			onPanic(cause, debug.Stack())
 		}
 	}()
 	handler.ServeHTTP(x, x.request)
@@ -155,11 +175,15 @@
 
 // chargeBuffer charges n bytes of the buffered response.
 func (x *exchange) chargeBuffer(n int) bool {
-	charge := int64(n) * clientload.BufferGrowth
-	if !x.conn.account.Charge(charge) {
+	return x.charge(int64(n) * clientload.BufferGrowth)
+}
+
+// charge charges n bytes until the request ends.
+func (x *exchange) charge(n int64) bool {
+	if !x.conn.account.Charge(n) {
 		return false
 	}
-	x.charged += charge
+	x.charged.Add(n)
 	return true
 }
 
@@ -238,7 +262,7 @@
 	if x.chunked {
 		x.writeLastChunk()
 	}
-	if limit := x.conn.server.limits().WriteTimeout; limit > 0 {
+	if limit := x.conn.server.Limits().WriteTimeout; limit > 0 {
 		x.setError(x.conn.netConn.SetWriteDeadline(time.Now().Add(limit)))
 	}
 	x.setError(x.conn.writer.Flush())
@@ -360,6 +384,9 @@
 	previousDone   <-chan struct{} // closed when the previous response is written; nil if there is none
 	limit          int64           // of the body in bytes; zero means none
 	received       int64           // bytes that were read
+	charge         func(int64) bool
+	chargedAsRead  int64       // length of the next part that is charged as it is read
+	refused        atomic.Bool // a part found no memory
 	once           sync.Once
 	done           chan struct{} // closed when the body was read to its end or its request has ended
 	readToEnd      bool          // set before done is closed
@@ -367,6 +394,9 @@
 
 // Read implements io.Reader. It must not be called concurrently.
 func (b *requestBody) Read(p []byte) (int, error) {
+	if b.refused.Load() {
+		return 0, errNoMemory
+	}
 	if b.expectContinue {
 		b.expectContinue = false
 		// Responses to earlier requests go before 100 Continue. No later
@@ -384,6 +414,13 @@
 	}
 	n, err := b.source.Read(p)
 	b.received += int64(n)
+	if part := min(int64(n), b.chargedAsRead); part > 0 {
+		b.chargedAsRead -= part
+		if !b.charge(part * clientload.BufferGrowth) {
+			b.refused.Store(true)
+			return 0, errNoMemory
+		}
+	}
 	if b.limit > 0 && b.received > b.limit {
 		return 0, errBodyTooLarge
 	}
--- a/front/pipeline/pipeline.go
+++ b/front/pipeline/pipeline.go
@@ -1,12 +1,14 @@
-// Package pipeline is an HTTP/1.1 server for callers that pipeline requests. It
-// starts each request of a connection as soon as the request is read and writes
-// the responses in the order of the requests. The server of net/http reads the
-// next request only after it has responded to the one before.
+// Package pipeline is an HTTP/1.1 server for clients that the node does not
+// control. It charges what a client sends before it keeps it, and refuses a request
+// for which there is no memory. It starts each request of a connection as soon as
+// the request is read and writes the responses in the order of the requests. The
+// server of net/http reads the next request only after it has responded to the one
+// before.
 package pipeline
 
 import (
+	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -15,6 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	account "github.com/marigoldshelf/marigoldshelf/front/clientload"
+	"github.com/marigoldshelf/marigoldshelf/verdict"
 )
 
 // Limits limits what callers can send and how long they can keep a connection. A
@@ -32,7 +35,7 @@
 	// WriteTimeout limits the time for which a caller can leave the end of a
 	// response unread.
 	WriteTimeout time.Duration
-	// Connections limits the connections, if the server has a ledger.
+	// Connections limits the connections of the listener, if the server has a ledger.
 	Connections int
 }
 
@@ -41,11 +44,31 @@
 // part of the node.
 const maxInFlight = 16
 
+// Config configures a Server.
+type Config struct {
+	Handler http.Handler
+	// Limits is called for each request, so that changed limits also apply to open
+	// connections.
+	Limits func() Limits
+	// Ledger accounts for the memory of the connections; nil means no limit.
+	// Listener is the server's listener in the ledger.
+	Ledger   *account.Ledger
+	Listener account.Listener
+	// BufferedBytes returns the length of the part of a request's body that the
+	// handler buffers before it acts on the request. Nil means 64 KiB, and none of a
+	// longer body whose length is stated.
+	BufferedBytes func(*http.Request) int64
+	// AddRefusalHeaders adds headers to the response to a request that the server
+	// itself refuses, which has not run; nil means none.
+	AddRefusalHeaders func(h http.Header, reason verdict.Reason)
+	// OnPanic is called when the handler panics with another value than
+	// http.ErrAbortHandler; nil means not called. The response is aborted.
+	OnPanic func(value any, stack []byte)
+}
+
 // Server serves connections. Create it with New.
 type Server struct {
-	handler http.Handler
-	limits  func() Limits
-	ledger  *account.Ledger // nil for none
+	Config
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
@@ -54,11 +77,12 @@
 	connWait sync.WaitGroup
 }
 
-// New returns a server. It calls limits for each request, so that changed limits
-// also apply to open connections.
-// ledger accounts for the memory of the connections; nil means no limit.
-func New(handler http.Handler, limits func() Limits, ledger *account.Ledger) *Server {
-	return &Server{handler: handler, limits: limits, ledger: ledger, conns: make(map[*conn]struct{})}
+// New returns a server.
+func New(c Config) *Server {
+	if c.BufferedBytes == nil {
+		c.BufferedBytes = bufferedBytes
+	}
+	return &Server{Config: c, conns: make(map[*conn]struct{})}
 }
 
 // Serve accepts connections until Shutdown and then returns nil. It returns an
@@ -83,10 +107,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c := newConn(s, netConn, ctx, cancel)
 	var opened *account.Account
-	if s.ledger != nil {
+	if s.Ledger != nil {
 		var accepted bool
-		if opened, accepted = s.ledger.Open(listenerName, s.limits().Connections, c.giveWay); !accepted {
-			refuse(netConn)
+		if opened, accepted = s.Ledger.Open(s.Listener, s.Limits().Connections, c.giveWay); !accepted {
+			s.refuse(netConn)
 			cancel()
 			return
 		}
@@ -109,21 +133,38 @@
 	})
 }
 
-// listenerName is the name of the listener in the ledger.
-const listenerName = "callers"
-
-// refusal is the response on a connection that is refused before anything was read
-// from it.
-const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-
 // refuse responds without reading a request and closes the connection. The bytes
 // fit into the empty send buffer, so it does not block.
-func refuse(netConn net.Conn) {
+func (s *Server) refuse(netConn net.Conn) {
 	_ = netConn.SetWriteDeadline(time.Now().Add(errorWriteTimeout))
-	_, _ = io.WriteString(netConn, refusal)
+	_, _ = netConn.Write(s.refusal(http.StatusServiceUnavailable, verdict.ClientMemory))
 	_ = netConn.Close()
 }
 
+// refusal returns the response to a request that has not run. It closes the
+// connection.
+func (s *Server) refusal(status int, reason verdict.Reason) []byte {
+	var b bytes.Buffer
+	b.WriteString("HTTP/1.1 " + statusLine(status) + "\r\n")
+	_ = s.refusalHeader(status, reason).Write(&b) // a buffer takes all
+	b.WriteString("Connection: close\r\nContent-Length: 0\r\n\r\n")
+	return b.Bytes()
+}
+
+// retryAfter is the Retry-After of a refused request, in seconds.
+const retryAfter = "1"
+
+func (s *Server) refusalHeader(status int, reason verdict.Reason) http.Header {
+	h := make(http.Header)
+	if status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", retryAfter)
+	}
+	if s.AddRefusalHeaders != nil {
+		s.AddRefusalHeaders(h, reason)
+	}
+	return h
+}
+
 func (s *Server) isClosing() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/front/pipeline/pipeline_test.go
+++ b/front/pipeline/pipeline_test.go
@@ -62,7 +62,7 @@
 		network := memnet.New(time.Millisecond, 1)
 		listener, err := network.Host("10.0.0.1").Listen("10.0.0.1:80")
 		must.NoError(t, err)
-		server := pipeline.New(h, func() pipeline.Limits { return limits }, nil)
+		server := pipeline.New(pipeline.Config{Handler: h, Limits: func() pipeline.Limits { return limits }})
 		go func() { _ = server.Serve(listener) }()
 		conn, err := network.Host("10.0.0.2").DialContext(t.Context(), "tcp", "10.0.0.1:80")
 		must.NoError(t, err)
@@ -244,7 +244,10 @@
 			}
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			must.NoError(t, err)
-			server := pipeline.New(http.HandlerFunc(wait), func() pipeline.Limits { return pipeline.Limits{IdleTimeout: time.Hour} }, nil)
+			server := pipeline.New(pipeline.Config{
+				Handler: http.HandlerFunc(wait),
+				Limits:  func() pipeline.Limits { return pipeline.Limits{IdleTimeout: time.Hour} },
+			})
 			go func() { _ = server.Serve(listener) }()
 			conn, err := net.Dial("tcp", listener.Addr().String())
 			must.NoError(t, err)
@@ -276,7 +279,9 @@
 		}
 		completed.Add(1)
 	})
-	server := pipeline.New(handler, func() pipeline.Limits { return pipeline.Limits{MaxBodyBytes: 10} }, nil)
+	server := pipeline.New(pipeline.Config{
+		Handler: handler, Limits: func() pipeline.Limits { return pipeline.Limits{MaxBodyBytes: 10} },
+	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	go func() { _ = server.Serve(listener) }()
--- a/node/node.go
+++ b/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/marigoldshelf/marigoldshelf/eventlog"
 	"github.com/marigoldshelf/marigoldshelf/front/clientload"
 	"github.com/marigoldshelf/marigoldshelf/front/operator"
+	"github.com/marigoldshelf/marigoldshelf/front/peer"
 	"github.com/marigoldshelf/marigoldshelf/front/pipeline"
 	registrationfront "github.com/marigoldshelf/marigoldshelf/front/registration"
 	"github.com/marigoldshelf/marigoldshelf/logs"
@@ -275,6 +276,15 @@
 	// stays open.
 	reportIdleTimeout = time.Minute
 	maxHeaderBytes    = 64 << 10
+	// maxForwardedHeaderBytes is more than maxHeaderBytes because a node writes the
+	// shortest lines that it reads, of three bytes, as lines of five, and adds its own.
+	maxForwardedHeaderBytes = 2 * maxHeaderBytes
+	// maxControlBodyBytes limits the body of a request between nodes that is not a
+	// caller's.
+	maxControlBodyBytes = 4 << 20
+	// peerRetryAfter is how long a node sends no requests of the class to one without
+	// memory for them. Most requests end in that time.
+	peerRetryAfter = 100 * time.Millisecond
 )
 
 func newServer(l net.Listener, h http.Handler) server {
@@ -283,25 +293,71 @@
 	}}
 }
 
-// maxReportBytes is the part of a report's body that is buffered.
-const maxReportBytes = 64 << 10
-
 // newLimitedServer returns a server whose connections are accounted for.
-func (n *Node) newLimitedServer(name string, l net.Listener, h http.Handler) server {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: reportIdleTimeout, MaxHeaderBytes: maxHeaderBytes}
-	clientload.Configure(s, maxReportBytes)
-	limit := n.options.Settings.Clients.ReportConnections
-	return server{listener: &clientload.Listener{Listener: l, Ledger: n.ledger, Name: name, Limit: limit}, front: s}
+func (n *Node) newLimitedServer(l net.Listener, c pipeline.Config) server {
+	c.Ledger = n.ledger
+	c.OnPanic = n.record.panicked
+	return server{listener: l, front: pipeline.New(c)}
+}
+
+// Listeners of the ledger.
+var (
+	callersListener   = clientload.Listener{Name: "callers", Group: decideclients.Callers}
+	peersListener     = clientload.Listener{Name: "peers", Group: decideclients.Peers}
+	reportsListener   = clientload.Listener{Name: "reports", Group: decideclients.Control}
+	readinessListener = clientload.Listener{Name: "readiness", Group: decideclients.Control}
+)
+
+// newCallerServer returns the server for callers.
+func (n *Node) newCallerServer() server {
+	return n.newLimitedServer(n.listeners.callers, pipeline.Config{
+		Handler: n.callerHandler(), Limits: n.callerLimits, Listener: callersListener,
+	})
+}
+
+// newReportServer returns the server of a listener for the own backend server or the
+// platform.
+func (n *Node) newReportServer(l net.Listener, listener clientload.Listener, h http.Handler) server {
+	return n.newLimitedServer(l, pipeline.Config{Handler: h, Listener: listener, Limits: n.reportLimits})
+}
+
+func (n *Node) reportLimits() pipeline.Limits {
+	return pipeline.Limits{
+		MaxHeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: reportIdleTimeout,
+		WriteTimeout: n.options.Settings.Traffic.BodyIdle(), Connections: n.options.Settings.Clients.ReportConnections,
+	}
 }
 
-// newPeerServer returns the server for other nodes, whose connections are limited.
-// The memory of forwarded requests is charged at the node that received them.
+// newPeerServer returns the server for other nodes.
 func (n *Node) newPeerServer() server {
-	front := &http.Server{Handler: n.peerMux(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
-	clientload.Configure(front, 0)
-	limit := n.options.Settings.Clients.PeerConnections
-	listener := &clientload.Listener{Listener: n.listeners.peers, Ledger: n.ledger, Name: "peers", Limit: limit, Uncharged: true}
-	return server{listener: listener, front: front}
+	return n.newLimitedServer(n.listeners.peers, pipeline.Config{
+		Handler: n.peerMux(), Limits: n.peerLimits, Listener: peersListener, BufferedBytes: peerBufferedBytes,
+		AddRefusalHeaders: n.addPeerRefusalHeaders,
+	})
+}
+
+func (n *Node) peerLimits() pipeline.Limits {
+	return pipeline.Limits{
+		MaxHeaderBytes: maxForwardedHeaderBytes, HeaderTimeout: headerTimeout,
+		WriteTimeout: n.options.Settings.Traffic.BodyIdle(), Connections: n.options.Settings.Clients.PeerConnections,
+	}
+}
+
+// peerBufferedBytes returns the part of a request's body that peerMux buffers.
+func peerBufferedBytes(r *http.Request) int64 {
+	if !hop.IsForwarded(r.Header) {
+		return maxControlBodyBytes
+	}
+	return peer.BufferedBytes(r)
+}
+
+// addPeerRefusalHeaders tells the sending node that a request has not run.
+func (n *Node) addPeerRefusalHeaders(h http.Header, reason verdict.Reason) {
+	refusal := hop.ResponseInfo{Verdict: verdict.NotRun, Reason: reason, Load: n.tables.Occupancy.Load()}
+	if reason == verdict.ClientMemory {
+		refusal.RetryAfter = peerRetryAfter
+	}
+	refusal.Write(h)
 }
 
 // registerClients adds the accounting of what clients hold.
@@ -342,9 +398,9 @@
 		return append(servers, newServer(n.listeners.callers, n.keyedHandler(n.callerHandler()))), nil
 	}
 	return append(servers,
-		server{listener: n.listeners.callers, front: pipeline.New(n.callerHandler(), n.callerLimits, n.ledger)},
-		n.newLimitedServer("readiness", n.listeners.readiness, n.options.Adapter.ReadinessHandler(n.unreadyReason)),
-		n.newLimitedServer("reports", n.listeners.reports, n.options.Adapter.ReportHandler(n.applyReport, n.record.reportMalformed)),
+		n.newCallerServer(),
+		n.newReportServer(n.listeners.readiness, readinessListener, n.options.Adapter.ReadinessHandler(n.unreadyReason)),
+		n.newReportServer(n.listeners.reports, reportsListener, n.options.Adapter.ReportHandler(n.applyReport, n.record.reportMalformed)),
 	), nil
 }
 
--- a/node/record.go
+++ b/node/record.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"strings"
 	"time"
 
@@ -215,6 +216,16 @@
 	}
 }
 
+// panicEvent counts the requests whose handler has panicked.
+const panicEvent = "handler_panic"
+
+func (r recorder) panicked(value any, stack []byte) {
+	r.metrics.Count(panicEvent, "")
+	if e := r.events.Warning(logs.Failure, partProcess); e != nil {
+		e.Str("cause", fmt.Sprint(value)).Bytes("stack", stack).Msg("a handler has panicked")
+	}
+}
+
 func (r recorder) process(message string) {
 	if e := r.events.Line(logs.StateChange, partProcess); e != nil {
 		e.Msg(message)
--- a/node/traffic.go
+++ b/node/traffic.go
@@ -110,13 +110,13 @@
 	} else {
 		mux.Handle(approved.Path, &approved.Handler{Document: n.tables.Document})
 	}
-	forwarded := n.peerHandler()
+	forwarded, control := n.peerHandler(), http.MaxBytesHandler(mux, maxControlBodyBytes)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if hop.IsForwarded(r.Header) {
 			forwarded.ServeHTTP(w, r)
 			return
 		}
-		mux.ServeHTTP(w, r)
+		control.ServeHTTP(w, r)
 	})
 }
 
--- a/tables/clients.go
+++ b/tables/clients.go
@@ -14,15 +14,15 @@
 	// ClientCloses holds the connections to be closed. Added by front/clientload
 	// and the controller clients, deleted by the I/O workers of front/clientload.
 	ClientCloses *blackboard.Table[uint64, struct{}]
-	// ClientLoad is the sum of ClientHoldings. Written by front/clientload and
-	// the controller clients.
-	ClientLoad *blackboard.Cell[clientload.Load]
+	// ClientLoad is the sum of ClientHoldings of each group of listeners. Written by
+	// front/clientload and the controller clients.
+	ClientLoad *blackboard.Cell[clientload.Loads]
 }
 
 func newClients(b *blackboard.Board) Clients {
 	return Clients{
 		ClientHoldings: blackboard.NewTable[uint64, clientload.Holding](b, "client_holdings", rankClientHoldings),
 		ClientCloses:   blackboard.NewTable[uint64, struct{}](b, "client_closes", rankClientCloses),
-		ClientLoad:     blackboard.NewCell[clientload.Load](b, "client_load", rankClientLoad),
+		ClientLoad:     blackboard.NewCell[clientload.Loads](b, "client_load", rankClientLoad),
 	}
 }
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -77,6 +77,7 @@
 	VersionFloorUnknown   Reason = "floor_unknown"      // the lowest version that the node is allowed to serve is not known yet
 	SlowSender            Reason = "slow_sender"        // the caller stopped sending the request body
 	ResponseTruncated     Reason = "response_truncated" // the response was cut short
+	ClientMemory          Reason = "client_memory"      // clients hold all the memory that the node has for them
 )
 
 // More reasons that a request with an idempotency key is refused.
