Running requests are not cut to make room for others

Ordinary callers lost bookings that ran at a backend server: in a burst of 145 callers the node closed over a hundred connections without an answer, with 60 MB in use.

Cause: when a small holder found no memory, the controller clients closed the largest holders until three quarters were enough. In a burst of ordinary callers all hold the same, and among equals it took those that had not changed for longest: the ones whose requests run.

Only clients that stall give way now: one that has not sent its request within a second, and one that has taken no bytes of a response for three. The request of the first is refused with 503 rather than cut, and has not run. If no client stalls, new requests are refused until running ones end. front/clientload writes what each connection waits for into client_holdings once a small holder was refused (client_relief has the progress), the controller selects from these rows, and a connection whose request has begun to run since then declines to be closed. Other changes of client_load wake no worker any more.

TestSelectLargest becomes TestSelectStalled: the same order and the same end, among stalled clients, and none of the others.

--- a/controllers/clients/clients.go
+++ b/controllers/clients/clients.go
@@ -1,5 +1,5 @@
-// Package clients is the controller that closes client connections when clients
-// hold too much of the node's memory. It reads ClientLoad, marks rows of
+// Package clients is the controller that closes the connections of stalled clients
+// when clients hold too much of the node's memory. It reads ClientRelief, marks rows of
 // ClientHoldings and adds them to ClientCloses, the outbox from which
 // front/clientload closes connections.
 package clients
@@ -19,29 +19,29 @@
 
 // Register adds the controller to the pool.
 func Register(p *controller.Pool, t *tables.Tables, limits clientload.Limits) {
-	handle := controller.Register(p, "clients", func(time.Time, int) controller.Result {
-		t.Board.Do(func(tx *blackboard.Tx) { reconcile(tx, t, limits) }, t.ClientHoldings.Write(), t.ClientLoad.Write(), t.ClientCloses.Write())
+	handle := controller.Register(p, "clients", func(now time.Time, _ int) controller.Result {
+		t.Board.Do(func(tx *blackboard.Tx) { reconcile(tx, t, now, limits) }, t.ClientHoldings.Write(), t.ClientRelief.Write(), t.ClientCloses.Write())
 		return controller.Result{}
 	})
-	t.ClientLoad.Watch(func() { handle.Add(singletonKey) })
+	t.ClientRelief.Watch(func() { handle.Add(singletonKey) })
 }
 
-func reconcile(tx *blackboard.Tx, t *tables.Tables, limits clientload.Limits) {
-	loads := t.ClientLoad.Get(tx)
-	before := loads
-	for group, load := range loads {
-		if load.Refusals == load.Relieved {
+func reconcile(tx *blackboard.Tx, t *tables.Tables, now time.Time, limits clientload.Limits) {
+	relief := t.ClientRelief.Get(tx)
+	if relief.Decided == relief.Observed {
+		return
+	}
+	for i, observed := range relief.Observed {
+		if relief.Decided[i] == observed {
 			continue
 		}
-		group := clientload.Group(group)
-		for _, id := range limits.ForGroup(group).SelectLargest(entriesOf(tx, t, group)) {
+		group := clientload.Group(i)
+		for _, id := range limits.ForGroup(group).SelectStalled(now, entriesOf(tx, t, group)) {
 			MarkClosing(tx, t, id)
 		}
-		loads[group].Relieved = load.Refusals
-	}
-	if loads != before {
-		t.ClientLoad.Set(tx, loads)
 	}
+	relief.Decided = relief.Observed
+	t.ClientRelief.Set(tx, relief)
 }
 
 // entriesOf returns the rows of ClientHoldings of one group in key order.
--- a/decide/clientload/clientload.go
+++ b/decide/clientload/clientload.go
@@ -117,6 +117,8 @@
 	Served bool
 	// Closing is set when the connection is to be closed.
 	Closing bool
+	// Wait is as of the last refusal of a small holder.
+	Wait
 }
 
 // Loads is what the connections of each group hold.
@@ -126,9 +128,16 @@
 type Load struct {
 	Bytes       int64
 	Connections int
-	// Refusals is the number of refused increases of a small holder. Relieved is
-	// its value when connections were last selected to be closed.
-	Refusals, Relieved uint64
+	// Refusals is the number of refused increases of a small holder.
+	Refusals uint64
+}
+
+// Relief is the progress of closing connections after a small holder was refused, for
+// each group. Its numbers are values of Load.Refusals.
+type Relief struct {
+	// Requested is that of the last refusal. Observed is that for which the waits of the
+	// connections were written, and Decided that for which connections were selected.
+	Requested, Observed, Decided [numGroups]uint64
 }
 
 // Decision is the outcome of an increase.
@@ -173,20 +182,56 @@
 	IdleSince time.Time
 }
 
-// SelectLargest returns the connections to close so that the others together hold
-// no more than the shared part: the largest holders first, and among equals those
-// whose holding has not changed for longest.
-func (l Limits) SelectLargest(entries []Entry) []uint64 {
+// Wait is since when the node waits for the client of a connection.
+type Wait struct {
+	// ReceivingSince is when the request that the client is sending began; zero
+	// without one. The request has not run.
+	ReceivingSince time.Time
+	// SendingSince is when the node began to write bytes that the client has not
+	// taken yet; zero without any.
+	SendingSince time.Time
+}
+
+const (
+	// receivingGrace is the time that an ordinary client takes at most to send a
+	// request with a short body.
+	receivingGrace = time.Second
+	// sendingGrace is the time in which an ordinary client takes at least some bytes of
+	// a response.
+	sendingGrace = 3 * time.Second
+)
+
+// Reads reports whether the client takes the bytes that the node sends.
+func (w Wait) Reads(now time.Time) bool {
+	return w.SendingSince.IsZero() || now.Sub(w.SendingSince) < sendingGrace
+}
+
+// stalled reports whether the connection holds memory because its client stalls.
+func (w Wait) stalled(now time.Time) bool {
+	return !w.Reads(now) || !w.ReceivingSince.IsZero() && now.Sub(w.ReceivingSince) >= receivingGrace
+}
+
+// SelectStalled returns the connections to close so that the others together hold no
+// more than the shared part: of those whose clients stall the largest holders first,
+// and among equals those that have not changed for longest. A connection whose
+// requests run is not closed, however much it holds: new requests are refused instead.
+func (l Limits) SelectStalled(now time.Time, entries []Entry) []uint64 {
 	var total int64
-	entries = slices.DeleteFunc(slices.Clone(entries), func(e Entry) bool { return e.Closing })
+	var stalled []Entry
 	for _, e := range entries {
+		if e.Closing {
+			continue
+		}
 		total += e.Bytes
+		if e.stalled(now) {
+			stalled = append(stalled, e)
+		}
 	}
-	slices.SortFunc(entries, func(a, b Entry) int {
+	slices.SortFunc(stalled, func(a, b Entry) int {
 		return cmp.Or(cmp.Compare(b.Bytes, a.Bytes), a.Since.Compare(b.Since), cmp.Compare(a.ID, b.ID))
 	})
 	var selected []uint64
-	for _, e := range entries {
+	for _, e := range stalled {
 		if total <= l.sharedBytes() {
 			break
 		}
--- a/decide/clientload/clientload_test.go
+++ b/decide/clientload/clientload_test.go
@@ -33,20 +33,36 @@
 	must.Eq(t, clientload.ConnectionFull, decision)
 }
 
-// TestSelectLargest guards against closing ordinary callers before large holders,
-// and against closing more than needed.
-func TestSelectLargest(t *testing.T) {
-	now := time.Unix(0, 0)
+// TestSelectStalled guards against closing connections whose requests run, against
+// closing ordinary callers before large holders, and against closing more than needed.
+func TestSelectStalled(t *testing.T) {
+	now := time.Unix(1000, 0)
+	receiving := clientload.Wait{ReceivingSince: now.Add(-time.Second)}
+	sending := clientload.Wait{SendingSince: now.Add(-3 * time.Second)}
+	entry := func(id uint64, bytes int64, since int, w clientload.Wait) clientload.Entry {
+		return clientload.Entry{ID: id, Holding: clientload.Holding{Bytes: bytes, Since: now.Add(time.Duration(since)), Wait: w}}
+	}
+	closing := entry(4, 8<<20, 0, receiving)
+	closing.Closing = true
 	entries := []clientload.Entry{
-		{ID: 1, Holding: clientload.Holding{Bytes: 64 << 10, Since: now}},
-		{ID: 2, Holding: clientload.Holding{Bytes: 8 << 20, Since: now.Add(time.Second)}},
-		{ID: 3, Holding: clientload.Holding{Bytes: 8 << 20, Since: now}},
-		{ID: 4, Holding: clientload.Holding{Bytes: 8 << 20, Closing: true}},
-		{ID: 5, Holding: clientload.Holding{Bytes: 8 << 20, Since: now.Add(2 * time.Second)}},
-		{ID: 6, Holding: clientload.Holding{Bytes: 7 << 20, Since: now}},
+		entry(1, 64<<10, 0, receiving),
+		entry(2, 8<<20, 1, sending),
+		entry(3, 8<<20, 0, receiving),
+		closing,
+		entry(5, 8<<20, 2, receiving),
+		entry(6, 7<<20, 0, receiving),
+	}
+	must.Eq(t, []uint64{3}, limits.SelectStalled(now, entries))
+	must.SliceEmpty(t, limits.SelectStalled(now, entries[:3]))
+
+	for i := range entries {
+		entries[i].Wait = clientload.Wait{}
 	}
-	must.Eq(t, []uint64{3}, limits.SelectLargest(entries))
-	must.SliceEmpty(t, limits.SelectLargest(entries[:3]))
+	must.SliceEmpty(t, limits.SelectStalled(now, entries), must.Sprint("running requests"))
+	entries[0].Wait = receiving
+	must.Eq(t, []uint64{1}, limits.SelectStalled(now, entries), must.Sprint("the only one that stalls"))
+	entries[0].ReceivingSince = now.Add(-time.Millisecond)
+	must.SliceEmpty(t, limits.SelectStalled(now, entries), must.Sprint("a request that has just begun"))
 }
 
 // TestSelectForNew guards against silent connections that lock callers out.
--- a/front/clientload/clientload.go
+++ b/front/clientload/clientload.go
@@ -50,6 +50,13 @@
 	accounts sync.Map // uint64 -> *Account
 }
 
+// Conn is a connection that a ledger accounts for.
+type Conn interface {
+	// GiveWay ends the connection for the sake of others, without blocking. It returns
+	// false, and the connection stays, if a request of it runs and its client reads.
+	GiveWay() bool
+}
+
 // New returns a ledger that closes connections on the workers of pool. It is
 // called before the pool runs.
 func New(pool *controller.Pool, t *tables.Tables, c clock.Clock, limits decide.Limits, count func(verdict.Reason)) *Ledger {
@@ -59,9 +66,55 @@
 		return controller.Result{}
 	})
 	t.ClientCloses.Watch(handle.Add)
+	observe := controller.Register(pool, "observe client connections", func(time.Time, int) controller.Result {
+		l.observe()
+		return controller.Result{}
+	})
+	t.ClientRelief.Watch(func() { observe.Add(0) })
 	return l
 }
 
+// observe writes what connections wait for into their rows of ClientHoldings once a
+// small holder was refused.
+func (l *Ledger) observe() {
+	t := l.Tables
+	t.Board.Do(func(tx *blackboard.Tx) {
+		relief := t.ClientRelief.Get(tx)
+		if relief.Observed == relief.Requested {
+			return
+		}
+		for _, e := range clients.Entries(tx, t) {
+			value, exists := l.accounts.Load(e.ID)
+			if !exists {
+				continue // it is ending
+			}
+			if wait := value.(*Account).wait(); wait != e.Wait {
+				e.Wait = wait
+				t.ClientHoldings.Put(tx, e.ID, e.Holding)
+			}
+		}
+		relief.Observed = relief.Requested
+		t.ClientRelief.Set(tx, relief)
+	}, t.ClientHoldings.Write(), t.ClientRelief.Write())
+}
+
+// increase decides on n more bytes of a connection and counts them in the load. The
+// transaction writes ClientLoad and ClientRelief.
+func (l *Ledger) increase(tx *blackboard.Tx, h decide.Holding, n int64) decide.Decision {
+	t := l.Tables
+	loads := t.ClientLoad.Get(tx)
+	refusals := loads[h.Group].Refusals
+	var decision decide.Decision
+	decision, loads[h.Group] = l.Limits.ForGroup(h.Group).Increase(loads[h.Group], h, n)
+	t.ClientLoad.Set(tx, loads)
+	if now := loads[h.Group].Refusals; now != refusals {
+		relief := t.ClientRelief.Get(tx)
+		relief.Requested[h.Group] = now
+		t.ClientRelief.Set(tx, relief)
+	}
+	return decision
+}
+
 // close closes a connection of ClientCloses.
 func (l *Ledger) close(id uint64) {
 	t := l.Tables
@@ -70,24 +123,31 @@
 	if !exists {
 		return // it has ended
 	}
-	if a := value.(*Account); a.closing.CompareAndSwap(false, true) {
+	if a := value.(*Account); a.conn.GiveWay() {
 		l.Count(ReasonClosed)
-		a.closeConn()
+		return
 	}
+	t.Board.Do(func(tx *blackboard.Tx) {
+		if row, found := t.ClientHoldings.Get(tx, id); found {
+			row.Closing = false
+			t.ClientHoldings.Put(tx, id, row)
+		}
+	}, t.ClientHoldings.Write())
 }
 
 // Account is the account of one connection. Its methods are safe for concurrent
 // use. A nil account grants everything.
 type Account struct {
-	ledger    *Ledger
-	group     decide.Group
-	id        uint64
-	closeConn func()
-	closing   atomic.Bool
-	served    atomic.Bool
+	ledger *Ledger
+	group  decide.Group
+	id     uint64
+	conn   Conn
+	served atomic.Bool
 	// idleSince is when the connection last held nothing but itself; nil while it
 	// holds more.
 	idleSince atomic.Pointer[time.Time]
+	// receivingSince and sendingSince are those of decide.Wait; nil for zero.
+	receivingSince, sendingSince atomic.Pointer[time.Time]
 
 	mu             sync.Mutex
 	held, reserved int64
@@ -95,20 +155,18 @@
 }
 
 // Open opens the account of a new connection to a listener that accepts limit
-// connections. closeConn closes the connection and must not block. Open returns
-// false if the connection is refused.
-func (l *Ledger) Open(listener Listener, limit int, closeConn func()) (*Account, bool) {
+// connections. It returns false if the connection is refused.
+func (l *Ledger) Open(listener Listener, limit int, conn Conn) (*Account, bool) {
 	group, held := listener.Group, listener.Group.ConnectionBytes()
 	reserved := roundUp(held)
-	a := &Account{ledger: l, group: group, id: l.lastID.Add(1), closeConn: closeConn, held: held, reserved: reserved}
+	a := &Account{ledger: l, group: group, id: l.lastID.Add(1), conn: conn, held: held, reserved: reserved}
 	reason := verdict.Reason("")
 	l.accounts.Store(a.id, a)
 	t := l.Tables
 	t.Board.Do(func(tx *blackboard.Tx) {
-		loads := t.ClientLoad.Get(tx)
 		var victim uint64
 		found, accepted := false, true
-		if loads[group].Connections >= limit { // else the listener has fewer than limit
+		if t.ClientLoad.Get(tx)[group].Connections >= limit { // else the listener has fewer than limit
 			victim, found, accepted = decide.SelectForNew(l.Clock.Now(), l.withIdle(clients.Entries(tx, t)), listener.Name, limit)
 		}
 		if found {
@@ -119,17 +177,16 @@
 			return
 		}
 		row := decide.Holding{Listener: listener.Name, Group: group, Since: l.Clock.Now()}
-		decision, load := l.Limits.ForGroup(group).Increase(loads[group], row, reserved)
-		if decision == decide.Granted {
-			row.Bytes = reserved
-			load.Connections++
-			t.ClientHoldings.Put(tx, a.id, row)
-		} else {
+		if l.increase(tx, row, reserved) != decide.Granted {
 			reason = ReasonNodeFull
+			return
 		}
-		loads[group] = load
+		row.Bytes = reserved
+		t.ClientHoldings.Put(tx, a.id, row)
+		loads := t.ClientLoad.Get(tx)
+		loads[group].Connections++
 		t.ClientLoad.Set(tx, loads)
-	}, t.ClientHoldings.Write(), t.ClientLoad.Write(), t.ClientCloses.Write())
+	}, t.ClientHoldings.Write(), t.ClientLoad.Write(), t.ClientRelief.Write(), t.ClientCloses.Write())
 	if reason != "" {
 		l.accounts.Delete(a.id)
 		l.Count(reason)
@@ -166,20 +223,20 @@
 	l, t := a.ledger, a.ledger.Tables
 	var decision decide.Decision
 	t.Board.Do(func(tx *blackboard.Tx) {
-		loads := t.ClientLoad.Get(tx)
 		row, _ := t.ClientHoldings.Get(tx, a.id)
 		if n > 0 {
-			decision, loads[a.group] = l.Limits.ForGroup(a.group).Increase(loads[a.group], row, n)
+			decision = l.increase(tx, row, n)
 		} else {
+			loads := t.ClientLoad.Get(tx)
 			loads[a.group].Bytes += n
+			t.ClientLoad.Set(tx, loads)
 		}
-		t.ClientLoad.Set(tx, loads)
 		if decision == decide.Granted {
 			row.Bytes += n
 			row.Since = l.Clock.Now()
 			t.ClientHoldings.Put(tx, a.id, row)
 		}
-	}, t.ClientHoldings.Write(), t.ClientLoad.Write())
+	}, t.ClientHoldings.Write(), t.ClientLoad.Write(), t.ClientRelief.Write())
 	switch decision {
 	case decide.ConnectionFull:
 		l.Count(ReasonConnectionFull)
@@ -223,6 +280,45 @@
 	}
 }
 
+// SetReceiving notes whether the node waits for the rest of a request that has not
+// run.
+func (a *Account) SetReceiving(receiving bool) {
+	if a != nil {
+		a.setSince(&a.receivingSince, receiving)
+	}
+}
+
+// SetSending notes whether the node waits for the client to take bytes.
+func (a *Account) SetSending(sending bool) {
+	if a != nil {
+		a.setSince(&a.sendingSince, sending)
+	}
+}
+
+func (a *Account) setSince(since *atomic.Pointer[time.Time], waits bool) {
+	if !waits {
+		since.Store(nil)
+		return
+	}
+	if since.Load() == nil {
+		now := a.ledger.Clock.Now()
+		since.Store(&now)
+	}
+}
+
+// Reads reports whether the client takes the bytes that the node sends.
+func (a *Account) Reads() bool { return a == nil || a.wait().Reads(a.ledger.Clock.Now()) }
+
+func (a *Account) wait() (w decide.Wait) {
+	if since := a.receivingSince.Load(); since != nil {
+		w.ReceivingSince = *since
+	}
+	if since := a.sendingSince.Load(); since != nil {
+		w.SendingSince = *since
+	}
+	return w
+}
+
 // withIdle sets IdleSince of the entries.
 func (l *Ledger) withIdle(entries []decide.Entry) []decide.Entry {
 	for i, e := range entries {
--- a/front/clientload/clientload_test.go
+++ b/front/clientload/clientload_test.go
@@ -15,6 +15,11 @@
 	"github.com/marigoldshelf/marigoldshelf/verdict"
 )
 
+// idleConn is a connection without a request.
+type idleConn struct{}
+
+func (idleConn) GiveWay() bool { return true }
+
 var callers = clientload.Listener{Name: "callers", Group: decide.Callers}
 
 // TestEverythingIsReturned charges and releases on many connections at once. It
@@ -26,7 +31,7 @@
 	var group sync.WaitGroup
 	for i := range 40 {
 		group.Go(func() {
-			account, accepted := ledger.Open(callers, 30, func() {})
+			account, accepted := ledger.Open(callers, 30, idleConn{})
 			if !accepted {
 				return
 			}
@@ -55,7 +60,7 @@
 	var limited []verdict.Reason
 	ledger := clientload.New(controller.NewPool(clock.System{}, 1), board, clock.System{}, limits, func(r verdict.Reason) { limited = append(limited, r) })
 	for range 500 {
-		account, accepted := ledger.Open(callers, 512, func() {})
+		account, accepted := ledger.Open(callers, 512, idleConn{})
 		must.True(t, accepted)
 		for range 3 {
 			must.True(t, account.Charge(decide.Callers.RequestBytes()))
--- a/front/pipeline/account.go
+++ b/front/pipeline/account.go
@@ -59,13 +59,14 @@
 }
 
 // chargeBody charges the buffers of a request's body whose length is stated. One in
-// chunks is charged as it is read; chargeBody returns the length up to which.
-func (h *headCharge) chargeBody(request *http.Request) (chargedAsRead int64, err error) {
-	buffered := h.conn.server.BufferedBytes(request)
+// chunks is charged as it is read. chargeBody returns the length of the part that the
+// handler buffers.
+func (h *headCharge) chargeBody(request *http.Request) (buffered int64, err error) {
+	buffered = h.conn.server.BufferedBytes(request)
 	if request.ContentLength < 0 {
 		return buffered, nil
 	}
-	return 0, h.charge(min(request.ContentLength, buffered) * clientload.BufferGrowth)
+	return buffered, h.charge(min(request.ContentLength, buffered) * clientload.BufferGrowth)
 }
 
 // bufferedHead returns the part of the buffered bytes that belongs to the next
@@ -110,3 +111,23 @@
 		}
 	}
 }
+
+// maxWriteBytes is the length of a part of a response that a client that reads takes
+// within a moment.
+const maxWriteBytes = 64 << 10
+
+// responseWriter writes to a connection and notes while its client takes no bytes.
+type responseWriter struct{ conn *conn }
+
+// Write implements io.Writer.
+func (w responseWriter) Write(p []byte) (written int, err error) {
+	for len(p) > 0 && err == nil {
+		n := 0
+		w.conn.account.SetSending(true)
+		n, err = w.conn.netConn.Write(p[:min(len(p), maxWriteBytes)])
+		w.conn.account.SetSending(false)
+		written += n
+		p = p[n:]
+	}
+	return written, err
+}
--- a/front/pipeline/conn.go
+++ b/front/pipeline/conn.go
@@ -43,6 +43,7 @@
 	inFlight       int
 	idleSince      time.Time // when a request last ended; zero before the first
 	closeRequested bool      // close when no request is in flight
+	givesWay       bool      // closeRequested for the sake of other connections
 	closeSent      bool      // a response has the header Connection: close
 	refusedBody    bool      // a request was refused before its body was read to the end
 	requestWait    sync.WaitGroup
@@ -53,7 +54,7 @@
 	c := &conn{server: s, netConn: netConn, ctx: ctx, cancel: cancel, slots: make(chan struct{}, maxInFlight)}
 	c.headerReader = hop.NewHeadReader(netConn)
 	c.reader = bufio.NewReaderSize(c.headerReader, bufferBytes)
-	c.writer = bufio.NewWriterSize(netConn, bufferBytes)
+	c.writer = bufio.NewWriterSize(responseWriter{c}, bufferBytes)
 	return c
 }
 
@@ -78,6 +79,8 @@
 	if !c.awaitFirstByte(limits) {
 		return false
 	}
+	c.account.SetReceiving(true)
+	defer c.account.SetReceiving(false)
 	if limits.MaxHeaderBytes > 0 {
 		c.headerReader.Limit(limits.MaxHeaderBytes - int64(c.reader.Buffered()))
 	}
@@ -94,13 +97,16 @@
 	if cause := c.headerReader.Err(); err != nil && cause != nil {
 		err = cause
 	}
+	if err != nil && c.hasGivenWay() {
+		err = errNoMemory
+	}
 	_ = c.netConn.SetReadDeadline(time.Time{})
-	var chargedAsRead int64
+	var buffered int64
 	if err == nil {
 		if limits.MaxBodyBytes > 0 && request.ContentLength > limits.MaxBodyBytes {
 			err = errBodyTooLarge
 		} else {
-			chargedAsRead, err = head.chargeBody(request)
+			buffered, err = head.chargeBody(request)
 		}
 	}
 	if err != nil {
@@ -114,14 +120,14 @@
 		c.account.Release(head.charged)
 		return false
 	}
-	x, ok := c.addRequest(request)
-	if !ok {
+	x := newExchange(c, request, limits.MaxBodyBytes, buffered)
+	x.charged.Store(head.charged)
+	if !c.add(x) {
 		c.account.Release(head.charged)
 		return false
 	}
-	x.charged.Store(head.charged)
-	if x.body != nil {
-		x.body.limit, x.body.chargedAsRead = limits.MaxBodyBytes, chargedAsRead
+	if !x.isBuffering() {
+		c.account.SetReceiving(false)
 	}
 	c.requestWait.Go(func() { x.run(c.server.Handler) })
 	if x.body == nil {
@@ -228,18 +234,20 @@
 	}
 }
 
-// addRequest appends the request to the response order. It returns false if the
-// connection ends without it.
-func (c *conn) addRequest(request *http.Request) (*exchange, bool) {
+// add appends a request to the response order. It returns false if the connection
+// ends without it.
+func (c *conn) add(x *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closeSent {
-		return nil, false
+		return false
+	}
+	if c.last != nil {
+		x.follow(c.last)
 	}
-	x := newExchange(c, request, c.last)
 	c.last = x
 	c.inFlight++
-	return x, true
+	return true
 }
 
 // acceptsRequests reports whether another request can be read.
@@ -292,14 +300,29 @@
 	}
 }
 
-// giveWay closes the connection for the sake of others: without losing a request, if
-// none is in flight.
-func (c *conn) giveWay() {
-	if c.inFlightCount() == 0 {
-		c.closeWhenIdle()
-		return
+// GiveWay implements clientload.Conn. A request that is being received is refused.
+func (c *conn) GiveWay() bool {
+	c.mu.Lock()
+	unread := !c.account.Reads()
+	idle := c.inFlight == 0 || c.inFlight == 1 && c.last.isBuffering()
+	if idle {
+		c.closeRequested, c.givesWay = true, true
 	}
-	c.abort()
+	c.mu.Unlock()
+	switch {
+	case idle:
+		_ = c.netConn.SetReadDeadline(time.Now()) // wakes the reader
+	case unread:
+		c.abort()
+	}
+	return idle || unread
+}
+
+// hasGivenWay reports whether the request that is being received is to be refused.
+func (c *conn) hasGivenWay() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.givesWay
 }
 
 // abort closes the connection at once and cancels its requests.
--- a/front/pipeline/exchange.go
+++ b/front/pipeline/exchange.go
@@ -54,22 +54,37 @@
 	charged       atomic.Int64 // memory of the request and its buffered response
 }
 
-func newExchange(c *conn, request *http.Request, previous *exchange) *exchange {
+// newExchange returns the exchange of a request whose body has at most maxBodyBytes,
+// zero for no limit, and of which the handler buffers the given part.
+func newExchange(c *conn, request *http.Request, maxBodyBytes, bufferedBytes int64) *exchange {
 	x := &exchange{conn: c, header: make(http.Header), done: make(chan struct{})}
-	if previous != nil {
-		x.previousDone = previous.done
-	}
 	ctx, cancel := context.WithCancel(c.ctx)
 	x.cancel = cancel
 	x.request = request.WithContext(ctx)
 	if request.Body != nil && request.Body != http.NoBody {
-		x.body = &requestBody{source: request.Body, conn: c, charge: x.charge, previousDone: x.previousDone, done: make(chan struct{})}
-		x.body.expectContinue = strings.EqualFold(request.Header.Get("Expect"), "100-continue")
+		x.body = &requestBody{
+			source: request.Body, exchange: x, limit: maxBodyBytes, done: make(chan struct{}),
+			expectContinue: strings.EqualFold(request.Header.Get("Expect"), "100-continue"),
+			chargesBuffer:  request.ContentLength < 0,
+		}
+		x.body.buffer.Store(bufferedBytes)
 		x.request.Body = x.body
 	}
 	return x
 }
 
+// follow puts the response after that of the request that was read before.
+func (x *exchange) follow(previous *exchange) {
+	x.previousDone = previous.done
+	if x.body != nil {
+		x.body.previousDone = previous.done
+	}
+}
+
+// isBuffering reports whether the handler is to buffer more of the request's body
+// before it acts on the request.
+func (x *exchange) isBuffering() bool { return x.body != nil && x.body.buffer.Load() > 0 }
+
 // run runs the handler and finishes the response.
 func (x *exchange) run(handler http.Handler) {
 	defer func() {
@@ -379,14 +394,14 @@
 // is done.
 type requestBody struct {
 	source         io.ReadCloser
-	conn           *conn
+	exchange       *exchange
 	expectContinue bool            // the caller waits for 100 Continue before it sends the body
 	previousDone   <-chan struct{} // closed when the previous response is written; nil if there is none
 	limit          int64           // of the body in bytes; zero means none
 	received       int64           // bytes that were read
-	charge         func(int64) bool
-	chargedAsRead  int64       // length of the next part that is charged as it is read
-	refused        atomic.Bool // a part found no memory
+	buffer         atomic.Int64    // length of the part that the handler is still to buffer
+	chargesBuffer  bool            // that part is charged as it is read
+	refused        atomic.Bool     // a part found no memory
 	once           sync.Once
 	done           chan struct{} // closed when the body was read to its end or its request has ended
 	readToEnd      bool          // set before done is closed
@@ -394,9 +409,10 @@
 
 // Read implements io.Reader. It must not be called concurrently.
 func (b *requestBody) Read(p []byte) (int, error) {
-	if b.refused.Load() {
-		return 0, errNoMemory
+	if b.refused.Load() || b.givesWay() {
+		return 0, b.refuse()
 	}
+	conn := b.exchange.conn
 	if b.expectContinue {
 		b.expectContinue = false
 		// Responses to earlier requests go before 100 Continue. No later
@@ -404,22 +420,18 @@
 		if b.previousDone != nil {
 			select {
 			case <-b.previousDone:
-			case <-b.conn.ctx.Done():
-				return 0, context.Cause(b.conn.ctx)
+			case <-conn.ctx.Done():
+				return 0, context.Cause(conn.ctx)
 			}
 		}
-		if _, err := io.WriteString(b.conn.netConn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+		if _, err := io.WriteString(conn.netConn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return 0, err
 		}
 	}
 	n, err := b.source.Read(p)
 	b.received += int64(n)
-	if part := min(int64(n), b.chargedAsRead); part > 0 {
-		b.chargedAsRead -= part
-		if !b.charge(part * clientload.BufferGrowth) {
-			b.refused.Store(true)
-			return 0, errNoMemory
-		}
+	if err != nil && err != io.EOF && b.givesWay() || !b.takeFromBuffer(int64(n)) {
+		return 0, b.refuse()
 	}
 	if b.limit > 0 && b.received > b.limit {
 		return 0, errBodyTooLarge
@@ -430,6 +442,29 @@
 	return n, err
 }
 
+// givesWay reports whether the request is to be refused for the sake of others. The
+// handler has not acted on it.
+func (b *requestBody) givesWay() bool { return b.buffer.Load() > 0 && b.exchange.conn.hasGivenWay() }
+
+// refuse makes all further reads fail.
+func (b *requestBody) refuse() error {
+	b.refused.Store(true)
+	return errNoMemory
+}
+
+// takeFromBuffer notes that the handler has read n bytes. It returns false if there
+// is no memory for them.
+func (b *requestBody) takeFromBuffer(n int64) bool {
+	part := min(n, b.buffer.Load())
+	if part == 0 {
+		return true
+	}
+	if b.buffer.Add(-part) == 0 {
+		b.exchange.conn.account.SetReceiving(false)
+	}
+	return !b.chargesBuffer || b.exchange.charge(part*clientload.BufferGrowth)
+}
+
 // Close implements io.Closer. It does nothing.
 func (b *requestBody) Close() error { return nil }
 
@@ -437,6 +472,8 @@
 // has an effect.
 func (b *requestBody) finish(readToEnd bool) {
 	b.once.Do(func() {
+		b.buffer.Store(0)
+		b.exchange.conn.account.SetReceiving(false)
 		b.readToEnd = readToEnd
 		close(b.done)
 	})
--- a/front/pipeline/pipeline.go
+++ b/front/pipeline/pipeline.go
@@ -109,7 +109,7 @@
 	var opened *account.Account
 	if s.Ledger != nil {
 		var accepted bool
-		if opened, accepted = s.Ledger.Open(s.Listener, s.Limits().Connections, c.giveWay); !accepted {
+		if opened, accepted = s.Ledger.Open(s.Listener, s.Limits().Connections, c); !accepted {
 			s.refuse(netConn)
 			cancel()
 			return
--- a/tables/clients.go
+++ b/tables/clients.go
@@ -17,12 +17,16 @@
 	// ClientLoad is the sum of ClientHoldings of each group of listeners. Written by
 	// front/clientload and the controller clients.
 	ClientLoad *blackboard.Cell[clientload.Loads]
+	// ClientRelief is the progress of closing connections after a refusal. Written by
+	// front/clientload and the controller clients.
+	ClientRelief *blackboard.Cell[clientload.Relief]
 }
 
 func newClients(b *blackboard.Board) Clients {
 	return Clients{
 		ClientHoldings: blackboard.NewTable[uint64, clientload.Holding](b, "client_holdings", rankClientHoldings),
 		ClientCloses:   blackboard.NewTable[uint64, struct{}](b, "client_closes", rankClientCloses),
+		ClientRelief:   blackboard.NewCell[clientload.Relief](b, "client_relief", rankClientRelief),
 		ClientLoad:     blackboard.NewCell[clientload.Loads](b, "client_load", rankClientLoad),
 	}
 }
--- a/tables/order.go
+++ b/tables/order.go
@@ -65,6 +65,7 @@
 	rankCalls          blackboard.Rank = 400
 	rankClientHoldings blackboard.Rank = 410
 	rankClientLoad     blackboard.Rank = 412
+	rankClientRelief   blackboard.Rank = 413
 	rankClientCloses   blackboard.Rank = 414
 	rankBackend        blackboard.Rank = 490
 	rankDrain          blackboard.Rank = 500
