Every listener is limited, with both kinds of platform

Uncontrolled clients at the listener for operators, and at any listener of a node with platform.kind "log", were not limited: 174 to 467 MiB for small crowds. Bodies between nodes were read whole, whatever their length.

package pipeline serves these listeners too, so that there is one place where clients are charged and refused; net/http serves none. Operators share the part of reports and readiness and the limit clients.report_connections. Their bodies are read only after their sender was authenticated and are not charged. The head of a forwarded request has twice the limit of a caller's, since a node writes the shortest lines longer than it reads them.

net/http waits up to 5 s at a stop for connections on which nothing was sent. Such a stop ended with exit status 1 once it had to end earlier; package pipeline closes them.

TestStopWithSilentConnections: exit status 1 before, 0 now.

--- a/front/keyed/keyed.go
+++ b/front/keyed/keyed.go
@@ -50,6 +50,15 @@
 	Count func(event string, reason verdict.Reason)
 }
 
+// BufferedBytes returns the length of the part of a request's body that the Handler, or
+// that of package caller behind it, buffers before the request is sent on.
+func BufferedBytes(r *http.Request) int64 {
+	if r.ContentLength > maxBodyBytes && r.Header.Get(headerKey) == "" {
+		return 0
+	}
+	return maxBodyBytes
+}
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	rule, keyed := h.matchRule(r)
--- a/node/node.go
+++ b/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/marigoldshelf/marigoldshelf/encoding/hop"
 	"github.com/marigoldshelf/marigoldshelf/eventlog"
 	"github.com/marigoldshelf/marigoldshelf/front/clientload"
+	"github.com/marigoldshelf/marigoldshelf/front/keyed"
 	"github.com/marigoldshelf/marigoldshelf/front/operator"
 	"github.com/marigoldshelf/marigoldshelf/front/peer"
 	"github.com/marigoldshelf/marigoldshelf/front/pipeline"
@@ -91,7 +92,7 @@
 	// traffic holds the settings that can change while the node runs.
 	traffic atomic.Pointer[settings.Traffic]
 	record  recorder
-	// ledger accounts for the connections of clients; nil without an adapter.
+	// ledger accounts for the connections of clients.
 	ledger *clientload.Ledger
 }
 
@@ -178,9 +179,9 @@
 // registerControllers adds all controllers to the pool.
 func (n *Node) registerControllers() {
 	n.registerTraffic()
+	n.registerClients()
 	if n.options.Adapter != nil {
 		n.registerAdapter()
-		n.registerClients()
 	} else {
 		n.registerConfig()
 		n.registerKeys()
@@ -272,10 +273,10 @@
 
 const (
 	headerTimeout = 10 * time.Second
-	// reportIdleTimeout exceeds the interval of reports, so that their connection
+	// controlIdleTimeout exceeds the interval of reports, so that their connection
 	// stays open.
-	reportIdleTimeout = time.Minute
-	maxHeaderBytes    = 64 << 10
+	controlIdleTimeout = time.Minute
+	maxHeaderBytes     = 64 << 10
 	// maxForwardedHeaderBytes is more than maxHeaderBytes because a node writes the
 	// shortest lines that it reads, of three bytes, as lines of five, and adds its own.
 	maxForwardedHeaderBytes = 2 * maxHeaderBytes
@@ -287,14 +288,8 @@
 	peerRetryAfter = 100 * time.Millisecond
 )
 
-func newServer(l net.Listener, h http.Handler) server {
-	return server{listener: l, front: &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}}
-}
-
-// newLimitedServer returns a server whose connections are accounted for.
-func (n *Node) newLimitedServer(l net.Listener, c pipeline.Config) server {
+// newServer returns a server whose connections are accounted for.
+func (n *Node) newServer(l net.Listener, c pipeline.Config) server {
 	c.Ledger = n.ledger
 	c.OnPanic = n.record.panicked
 	return server{listener: l, front: pipeline.New(c)}
@@ -303,34 +298,44 @@
 // Listeners of the ledger.
 var (
 	callersListener   = clientload.Listener{Name: "callers", Group: decideclients.Callers}
+	operatorsListener = clientload.Listener{Name: "operators", Group: decideclients.Control}
 	peersListener     = clientload.Listener{Name: "peers", Group: decideclients.Peers}
 	reportsListener   = clientload.Listener{Name: "reports", Group: decideclients.Control}
 	readinessListener = clientload.Listener{Name: "readiness", Group: decideclients.Control}
 )
 
-// newCallerServer returns the server for callers.
+// newCallerServer returns the server for callers. Without an adapter their requests
+// can have idempotency keys.
 func (n *Node) newCallerServer() server {
-	return n.newLimitedServer(n.listeners.callers, pipeline.Config{
-		Handler: n.callerHandler(), Limits: n.callerLimits, Listener: callersListener,
-	})
+	c := pipeline.Config{Handler: n.callerHandler(), Limits: n.callerLimits, Listener: callersListener}
+	if n.options.Adapter == nil {
+		c.Handler = n.keyedHandler(c.Handler)
+		c.BufferedBytes = keyed.BufferedBytes
+	}
+	return n.newServer(n.listeners.callers, c)
 }
 
-// newReportServer returns the server of a listener for the own backend server or the
-// platform.
-func (n *Node) newReportServer(l net.Listener, listener clientload.Listener, h http.Handler) server {
-	return n.newLimitedServer(l, pipeline.Config{Handler: h, Listener: listener, Limits: n.reportLimits})
+// newControlServer returns the server of a listener for operators, for the own backend
+// server or for the platform. Bodies at the listener for operators are read only after
+// their sender was authenticated.
+func (n *Node) newControlServer(l net.Listener, listener clientload.Listener, h http.Handler) server {
+	c := pipeline.Config{Handler: h, Listener: listener, Limits: n.controlLimits}
+	if listener == operatorsListener {
+		c.BufferedBytes = func(*http.Request) int64 { return 0 }
+	}
+	return n.newServer(l, c)
 }
 
-func (n *Node) reportLimits() pipeline.Limits {
+func (n *Node) controlLimits() pipeline.Limits {
 	return pipeline.Limits{
-		MaxHeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: reportIdleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: controlIdleTimeout,
 		WriteTimeout: n.options.Settings.Traffic.BodyIdle(), Connections: n.options.Settings.Clients.ReportConnections,
 	}
 }
 
 // newPeerServer returns the server for other nodes.
 func (n *Node) newPeerServer() server {
-	return n.newLimitedServer(n.listeners.peers, pipeline.Config{
+	return n.newServer(n.listeners.peers, pipeline.Config{
 		Handler: n.peerMux(), Limits: n.peerLimits, Listener: peersListener, BufferedBytes: peerBufferedBytes,
 		AddRefusalHeaders: n.addPeerRefusalHeaders,
 	})
@@ -362,7 +367,8 @@
 
 // registerClients adds the accounting of what clients hold.
 func (n *Node) registerClients() {
-	s := n.options.Settings.Clients
+	s := n.options.Settings.Clients.WithDefaults()
+	n.options.Settings.Clients = s
 	limits := decideclients.Limits{TotalBytes: s.MemoryBytes, ConnectionBytes: s.ConnectionBytes, HeaderLines: s.HeaderLines}
 	n.ledger = clientload.New(n.ioPool, n.tables, n.options.Clock, limits, func(reason verdict.Reason) {
 		n.options.Metrics.Count(clientLimitedEvent, reason)
@@ -384,24 +390,18 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "create operators' API")
 	}
-	var peers server
-	if n.ledger != nil {
-		peers = n.newPeerServer()
-	} else {
-		peers = newServer(n.listeners.peers, n.peerMux())
-	}
 	servers := []server{
-		peers,
-		newServer(n.listeners.operators, n.operatorMux(operators)),
+		n.newPeerServer(),
+		n.newControlServer(n.listeners.operators, operatorsListener, n.operatorMux(operators)),
+		n.newCallerServer(),
 	}
-	if n.ledger == nil {
-		return append(servers, newServer(n.listeners.callers, n.keyedHandler(n.callerHandler()))), nil
+	if adapter := n.options.Adapter; adapter != nil {
+		servers = append(servers,
+			n.newControlServer(n.listeners.readiness, readinessListener, adapter.ReadinessHandler(n.unreadyReason)),
+			n.newControlServer(n.listeners.reports, reportsListener, adapter.ReportHandler(n.applyReport, n.record.reportMalformed)),
+		)
 	}
-	return append(servers,
-		n.newCallerServer(),
-		n.newReportServer(n.listeners.readiness, readinessListener, n.options.Adapter.ReadinessHandler(n.unreadyReason)),
-		n.newReportServer(n.listeners.reports, reportsListener, n.options.Adapter.ReportHandler(n.applyReport, n.record.reportMalformed)),
-	), nil
+	return servers, nil
 }
 
 // callerLimits returns the limits of the active configuration, or defaults if it
--- a/settings/clients.go
+++ b/settings/clients.go
@@ -3,11 +3,11 @@
 import "strconv"
 
 // Clients holds the limits on what clients outside the operator's control can
-// hold of the node. They apply with platform.kind "store". The defaults suit the
-// smallest host, of 112 MB.
+// hold of the node. The defaults suit the smallest host, of 112 MB.
 type Clients struct {
 	// MemoryBytes limits the memory that all clients hold together, 8 MiB to 16
-	// GiB. Default 32 MiB.
+	// GiB. Five eighths are for callers, two for requests that other nodes forward, and
+	// one for reports, readiness and operators. Default 32 MiB.
 	MemoryBytes int64 `json:"memory_bytes,omitempty"`
 	// ConnectionBytes limits the memory that one connection holds, 1 MiB to
 	// MemoryBytes. It is enough for a head of 64 KiB of the shortest lines.
@@ -16,7 +16,7 @@
 	// Connections limits the connections of callers, 1 to 65535. Default 512.
 	Connections int `json:"connections,omitempty"`
 	// ReportConnections limits the connections to each of the listeners for
-	// reports and for readiness, 1 to 65535. Default 64.
+	// reports, for readiness and for operators, 1 to 65535. Default 64.
 	ReportConnections int `json:"report_connections,omitempty"`
 	// PeerConnections limits the connections from other nodes, 1 to 65535. Default
 	// 2,048, half of the descriptors of the smallest hosts.
@@ -40,7 +40,8 @@
 	maxHeaderLines           = 1_000_000
 )
 
-func (c *Clients) fillDefaults() {
+// WithDefaults returns the limits with the defaults in place of zero.
+func (c Clients) WithDefaults() Clients {
 	if c.MemoryBytes == 0 {
 		c.MemoryBytes = defaultClientMemoryBytes
 	}
@@ -59,6 +60,7 @@
 	if c.HeaderLines == 0 {
 		c.HeaderLines = defaultHeaderLines
 	}
+	return c
 }
 
 func (c *checker) clients(s Clients) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -263,7 +263,7 @@
 	if s.Traffic.StopLimitMillis == 0 {
 		s.Traffic.StopLimitMillis = defaultStopLimitMillis
 	}
-	s.Clients.fillDefaults()
+	s.Clients = s.Clients.WithDefaults()
 	if s.Backend.Queue == nil {
 		queue := 2 * s.Backend.Slots
 		s.Backend.Queue = &queue
