Responses behind one that is being written are dropped at a disconnect

When a caller disconnects, or closes its sending direction, the exchanges of its connection are canceled. The response behind one that is being written gave up its turn at once, and the next took that for its own turn: two goroutines wrote to the connection together, and a caller that still reads could get a later response first.

A response that waits for its turn is not written any more once the connection's context has ended.

--- a/front/pipeline/exchange.go
+++ b/front/pipeline/exchange.go
@@ -253,15 +253,16 @@
 }
 
 // awaitTurn waits until every earlier response is written. It returns false if
-// the connection has ended.
+// the connection has ended: an earlier response is then possibly being written, since
+// those in between have not waited for it.
 func (x *exchange) awaitTurn() bool {
 	if x.previousDone != nil {
 		select {
 		case <-x.previousDone:
-			x.previousDone = nil
 		case <-x.conn.ctx.Done():
-			x.setError(context.Cause(x.conn.ctx))
 		}
+		x.setError(context.Cause(x.conn.ctx)) // nil while the connection is open
+		x.previousDone = nil
 	}
 	return x.err == nil
 }
