A slot is not used once the backend server leaves

Uploads reached a backend server 2.7 s after its departure was acknowledged, when it may have ended; the bound is 2 s.

Cause: a request whose body is sent on admission gets its slot first and then waits for the first bytes, up to its deadline. Nothing looked at the drain again before the request was sent on.

The drain is checked when a request is sent, whatever it waited for, and the wait for the first bytes ends when the drain begins: the request is refused as not run, so that its sender learns at once rather than when the body comes.

Evidence: TestGrantIsNotUsedOnceTheBackendServerDrains fails before in its three forms.

--- a/front/peer/body.go
+++ b/front/peer/body.go
@@ -76,6 +76,8 @@
 	case err == io.EOF:
 		b.rest = nil
 		return nil
+	case err != nil && eris.Is(context.Cause(ctx), errDraining):
+		return verdict.New(verdict.NotRun, verdict.Draining, err)
 	case err != nil && ctx.Err() != nil:
 		return verdict.New(verdict.NotRun, hop.CancelReason(ctx), err)
 	}
--- a/front/peer/handler.go
+++ b/front/peer/handler.go
@@ -14,6 +14,7 @@
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/clock"
 	"github.com/marigoldshelf/marigoldshelf/decide/admit"
+	"github.com/marigoldshelf/marigoldshelf/decide/drain"
 	"github.com/marigoldshelf/marigoldshelf/encoding/hop"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
 	"github.com/marigoldshelf/marigoldshelf/tables"
@@ -104,7 +105,7 @@
 		h.writeRefusal(w, verdict.New(verdict.NotRun, row.Reason, nil), row.RetryAfter)
 		return
 	}
-	if failure := body.awaitFirstBytes(ctx, w); failure != nil {
+	if failure := h.awaitFirstBytes(ctx, w, body); failure != nil {
 		h.recordAndRefuse(w, request, row, failure)
 		return
 	}
@@ -198,6 +199,35 @@
 	})
 }
 
+// errDraining is the cause of ending a wait because the backend server is leaving.
+var errDraining = eris.New("peer: the backend server takes no new requests")
+
+// awaitFirstBytes waits for the first bytes of a body that the peer sends on admission.
+// It gives up when the backend server begins to drain, so that the caller learns in
+// time that the request did not run.
+func (h *Handler) awaitFirstBytes(ctx context.Context, w http.ResponseWriter, body *requestBody) *verdict.Error {
+	if !body.onAdmission {
+		return nil
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		if _, err := h.Tables.Drain.Await(ctx, func(s drain.State) bool { return s.Draining }); err == nil {
+			cancel(errDraining)
+		}
+	}()
+	return body.awaitFirstBytes(ctx, w)
+}
+
+// checkDrain returns an error if the backend server takes no new requests, although the
+// request got a slot before.
+func (h *Handler) checkDrain() *verdict.Error {
+	if h.Tables.Drain.Load().Draining {
+		return verdict.New(verdict.NotRun, verdict.Draining, errDraining)
+	}
+	return nil
+}
+
 // sendToBackend sends the request to the backend server and returns the response,
 // whose body is buffered whole if it is short.
 func (h *Handler) sendToBackend(ctx context.Context, r *http.Request, body *requestBody, forwarded hop.Request, deadline time.Time) (*http.Response, *verdict.Error) {
@@ -209,6 +239,9 @@
 		// given up by now, and may have repeated the request.
 		return nil, verdict.New(verdict.NotRun, verdict.DeadlineExceeded, nil)
 	}
+	if failure := h.checkDrain(); failure != nil {
+		return nil, failure
+	}
 	instance := ""
 	if h.Instance != nil {
 		instance = h.Instance()
--- a/front/peer/handler_test.go
+++ b/front/peer/handler_test.go
@@ -1,6 +1,7 @@
 package peer_test
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -16,6 +17,7 @@
 	"github.com/marigoldshelf/marigoldshelf/blackboard"
 	"github.com/marigoldshelf/marigoldshelf/clock"
 	"github.com/marigoldshelf/marigoldshelf/decide/admit"
+	"github.com/marigoldshelf/marigoldshelf/decide/drain"
 	"github.com/marigoldshelf/marigoldshelf/encoding/hop"
 	"github.com/marigoldshelf/marigoldshelf/front/peer"
 	"github.com/marigoldshelf/marigoldshelf/mesh"
@@ -112,6 +114,56 @@
 	}
 }
 
+// Guards against a request that reaches a backend server which has left: it got its slot
+// before, and its body comes later, or the process was held up. It has not run, and its
+// sender learns that before the body comes.
+func TestGrantIsNotUsedOnceTheBackendServerDrains(t *testing.T) {
+	for name, framing := range map[string]string{
+		"body sent on admission":   "Content-Length: 20000\r\nExpect: 100-continue\r\n",
+		"chunks sent on admission": "Transfer-Encoding: chunked\r\nExpect: 100-continue\r\n",
+		"body sent before":         "Content-Length: 0\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHeldHandler()
+			server := httptest.NewServer(h)
+			defer server.Close()
+			conn, err := net.Dial("tcp", server.Listener.Addr().String())
+			must.NoError(t, err)
+			defer conn.Close()
+			must.NoError(t, conn.SetDeadline(time.Now().Add(3*time.Second)))
+			header := http.Header{}
+			hop.Request{AttemptID: "a.0", Target: "h", Service: "desk", Class: mesh.Upload, Timeout: 5 * time.Second}.Write(header)
+			var text strings.Builder
+			must.NoError(t, header.Write(&text))
+			_, err = io.WriteString(conn, "POST /photos HTTP/1.1\r\nHost: shop\r\n"+text.String()+framing+"\r\n")
+			must.NoError(t, err)
+			<-h.waiting
+			drain := func() {
+				h.Tables.Board.Do(func(tx *blackboard.Tx) {
+					h.Tables.Drain.Set(tx, drain.State{Draining: true})
+				}, h.Tables.Drain.Write())
+			}
+			reader := bufio.NewReader(conn)
+			if strings.Contains(framing, "Expect") {
+				h.grant("a.0")
+				response, err := http.ReadResponse(reader, nil)
+				must.NoError(t, err)
+				must.Eq(t, http.StatusContinue, response.StatusCode)
+				drain()
+			} else {
+				drain()
+				h.grant("a.0")
+			}
+			response, err := http.ReadResponse(reader, nil)
+			must.NoError(t, err)
+			info := hop.ReadResponseInfo(response.Header)
+			must.Eq(t, verdict.NotRun, info.Verdict)
+			must.Eq(t, verdict.Draining, info.Reason)
+			must.Eq(t, 0, h.sent.Load())
+		})
+	}
+}
+
 // heldHandler is a Handler whose admission point is the test.
 type heldHandler struct {
 	peer.Handler
