Departures hold after the clock of a host was set back

A backend server that started again under its identifier, after the time of day had jumped back, got requests for seconds after its departure was acknowledged.

Cause: start times alone ordered the starts. Every report of the new start was older than the last one of the old start, was acknowledged as stale and had no effect.

A report with an earlier start time is taken for a late one only if it can be one: of a start that is known to have been replaced, or of another instance within the 10 s in which late reports arrive. Otherwise the start is accepted. While it is not certain which of two starts is the current one, both are: departures of each hold, and a backend server is ready again only once a health check confirms it. A departure of a start of which no other report has arrived holds too, and the record of an instance that is gone does not reject its later starts for ever.

Evidence: TestDepartureHoldsAfterClockWasSetBack and its neighbors, which fail before: a departure as draining and as gone, at once and after a minute, a late report of the first start, another instance, a departure before any other report.

--- a/controllers/registration/registration.go
+++ b/controllers/registration/registration.go
@@ -67,7 +67,7 @@
 		b.ReceivingSince = now
 	}
 	b = r.applyObservations(tx, now, r.applyReports(tx, now, r.applyChecks(tx, b)))
-	if b.Unverified && b.Sequence != before.Sequence {
+	if b.Unverified && (b.Sequence != before.Sequence || b.StartKnownSince != before.StartKnownSince) {
 		r.BackendChecks.Put(tx, b.Instance, tables.BackendCheck{Sequence: b.Sequence})
 	}
 	if b != before {
--- a/decide/registration/registration.go
+++ b/decide/registration/registration.go
@@ -5,6 +5,7 @@
 package registration
 
 import (
+	"slices"
 	"time"
 
 	"github.com/marigoldshelf/marigoldshelf/mesh"
@@ -54,11 +55,13 @@
 	// Sequence increases with each report after one start.
 	Sequence uint64
 	// StartedAtMillis is the backend server's start time, in milliseconds since
-	// 1970 by its own clock. It orders the starts at one address; zero if
+	// 1970 by its own clock, which can be set back between two starts; zero if
 	// unknown.
 	StartedAtMillis int64
 }
 
+func (r Report) start() Start { return Start{r.Instance, r.StartedAtMillis} }
+
 // Backend is the node's view of its backend server. It is a value: its methods
 // return a modified copy.
 type Backend struct {
@@ -85,14 +88,33 @@
 	// not know it as the current instance. Its earlier reports can still
 	// arrive.
 	Tombstone Tombstone
+	// StartKnownSince is when the first report of the current start was accepted.
+	StartKnownSince time.Time
+	// Replaced are the starts that the current one and earlier ones have replaced, so
+	// that their late reports are rejected. The newest is the first.
+	Replaced [maxReplaced]Start
+	// Rival is a start that can be the current one too: its start time is later, but its
+	// report arrived earlier. Zero without one.
+	Rival Start
+}
+
+// maxReplaced bounds the starts whose late reports are rejected by name. Late reports
+// arrive within maxReportDelay.
+const maxReplaced = 4
+
+// Start is one start of a backend server.
+type Start struct {
+	Instance        string
+	StartedAtMillis int64
 }
 
 // Tombstone identifies an instance that is gone, so that its late reports are
 // rejected.
 type Tombstone struct {
-	Instance string
-	// StartedAtMillis is the instance's start time; zero while it is unknown.
-	StartedAtMillis int64
+	// Start is the instance and its start time; zero while that is unknown.
+	Start
+	// At is when it reported itself gone.
+	At time.Time
 }
 
 // maxStartSequence is the highest sequence number that identifies the start of
@@ -151,24 +173,43 @@
 		return b, Implausible
 	}
 	if r.Phase == Gone {
-		return b.applyGone(r)
+		return b.applyGone(now, r)
 	}
 	if r.Service != own.Service || r.Address != own.Address {
 		return b, Mismatched
 	}
-	tombstone, late := b.Tombstone.observe(r)
+	tombstone, late := b.Tombstone.observe(now, r)
 	b.Tombstone = tombstone
-	if late || !b.isNewer(r) {
+	newer, certain := b.compare(now, r)
+	if late || !newer {
 		return b, Stale
 	}
-	unverified := b.isUnverified(now, r)
+	next := b.withStart(now, r.start(), certain)
+	next.Unverified = b.isUnverified(now, r, certain)
 	if b.isSameStart(r) {
 		r.Sequence = max(r.Sequence, b.Sequence)
 	}
-	return Backend{
-		Report: r, LastReportAt: now, WarmupUntil: now.Add(r.WarmupRemaining), Tombstone: tombstone,
-		Unverified: unverified, ReceivingSince: b.ReceivingSince,
-	}, Accepted
+	next.Report, next.LastReportAt, next.WarmupUntil = r, now, now.Add(r.WarmupRemaining)
+	next.ConnectFailures, next.DownUntil = 0, time.Time{}
+	return next, Accepted
+}
+
+// withStart returns the state with another current start, if it is another one.
+// certain is whether the one before has ended.
+func (b Backend) withStart(now time.Time, s Start, certain bool) Backend {
+	if b.Phase != Unknown && s == b.start() {
+		return b
+	}
+	b.StartKnownSince = now
+	switch {
+	case b.Phase == Unknown:
+	case certain:
+		copy(b.Replaced[1:], b.Replaced[:])
+		b.Replaced[0] = b.start()
+	default:
+		b.Rival = b.start()
+	}
+	return b
 }
 
 // isSameStart reports whether r is from the same start of the backend server as
@@ -177,13 +218,25 @@
 	return b.Phase != Unknown && r.Instance == b.Instance && r.StartedAtMillis == b.StartedAtMillis
 }
 
-// isUnverified reports whether an accepted report can be a late one from before a
-// departure that this process does not know of. Several late reports can arrive, so
-// one does not confirm another. A report under the name in Tombstone is from a later
-// start, or it would not have been accepted.
-func (b Backend) isUnverified(now time.Time, r Report) bool {
+// isUnverified reports whether an accepted report can be a late one. After a start of
+// this process, that is one from before a departure that this process does not know
+// of. Several late reports can arrive, so one does not confirm another. A report under
+// the name in Tombstone is from a later start, or it would not have been accepted.
+//
+// A report of a start that is not certain to be the current one changes nothing if it
+// is of the same instance and the backend server was ready before.
+func (b Backend) isUnverified(now time.Time, r Report, certain bool) bool {
+	if r.Phase != Ready {
+		return false
+	}
+	if !certain {
+		return r.Instance != b.Instance || b.Phase != Ready || b.Unverified
+	}
+	if b.Unverified && b.isSameStart(r) && now.Before(b.StartKnownSince.Add(maxReportDelay)) {
+		return true
+	}
 	canBeLate := now.Before(b.ReceivingSince.Add(maxReportDelay)) && r.Sequence > maxStartSequence
-	return (b.Phase == Unknown || b.Unverified) && r.Phase == Ready && canBeLate && r.Instance != b.Tombstone.Instance
+	return (b.Phase == Unknown || b.Unverified) && canBeLate && r.Instance != b.Tombstone.Instance
 }
 
 // WithHealthCheck returns the state after a health check of the instance: a good
@@ -196,14 +249,20 @@
 }
 
 // applyGone returns the state after a report that an instance is gone. If the
-// instance is not the current one, it is recorded in Tombstone.
-func (b Backend) applyGone(r Report) (Backend, ReportOutcome) {
+// instance is not the current one, it is recorded in Tombstone. An earlier start can
+// be the current one too, and a later one has replaced it: both hold.
+func (b Backend) applyGone(now time.Time, r Report) (Backend, ReportOutcome) {
 	if r.Instance != b.Instance || b.Phase == Unknown {
-		b.Tombstone = Tombstone{Instance: r.Instance, StartedAtMillis: r.StartedAtMillis}
+		b.Tombstone = Tombstone{Start: r.start(), At: now}
 		return b, Accepted
 	}
 	if r.StartedAtMillis != 0 && r.StartedAtMillis != b.StartedAtMillis {
-		return b, Stale
+		newer, certain := b.compare(now, r)
+		if !newer {
+			return b, Stale
+		}
+		b = b.withStart(now, r.start(), certain)
+		b.StartedAtMillis, b.Sequence = r.StartedAtMillis, 0
 	}
 	b.Phase = Gone
 	return b, Accepted
@@ -211,12 +270,13 @@
 
 // observe reports whether r is a late report of the tombstone's instance. If that
 // shows the instance's start time, the returned tombstone has it.
-func (t Tombstone) observe(r Report) (_ Tombstone, late bool) {
+func (t Tombstone) observe(now time.Time, r Report) (_ Tombstone, late bool) {
 	if r.Instance != t.Instance {
 		return t, false
 	}
 	if t.StartedAtMillis != 0 {
-		return t, r.StartedAtMillis <= t.StartedAtMillis
+		canBeLate := now.Before(t.At.Add(maxReportDelay))
+		return t, r.StartedAtMillis == t.StartedAtMillis || r.StartedAtMillis < t.StartedAtMillis && canBeLate
 	}
 	if r.Sequence <= maxStartSequence {
 		return t, false
@@ -225,14 +285,35 @@
 	return t, true
 }
 
-// isNewer reports whether r is newer than the last accepted report.
-func (b Backend) isNewer(r Report) bool {
-	switch {
+// compare reports whether r is newer than the last accepted report, and whether that is
+// certain. A start time that is earlier than the current one is that of an earlier
+// start, whose report is late, or that of a later one after the clock was set back.
+// It is a later one if the report is too late to be of an earlier one. Until then it is
+// taken for one that only a health check confirms, since its node acknowledges it.
+func (b Backend) compare(now time.Time, r Report) (newer, certain bool) {
+	switch start := r.start(); {
 	case b.Phase == Unknown:
-		return true
-	case r.StartedAtMillis != b.StartedAtMillis:
-		// A report without a start time is older than all that have one.
-		return r.StartedAtMillis > b.StartedAtMillis
+		return true, true
+	case r.StartedAtMillis == b.StartedAtMillis:
+		return b.isNewerOfStart(r), true
+	case start == b.Rival:
+		return true, false
+	case slices.Contains(b.Replaced[:], start):
+		return false, true
+	case r.StartedAtMillis > b.StartedAtMillis:
+		return true, true
+	case r.StartedAtMillis == 0:
+		return false, true // older than all that have a start time
+	case !now.Before(b.StartKnownSince.Add(maxReportDelay)):
+		return true, r.Instance == b.Instance
+	}
+	return r.Instance == b.Instance || b.Phase == Gone, false
+}
+
+// isNewerOfStart reports whether a report with the start time of the last accepted one
+// is newer.
+func (b Backend) isNewerOfStart(r Report) bool {
+	switch {
 	case r.Instance != b.Instance:
 		return true
 	case b.Phase == Gone:
--- a/decide/registration/registration_test.go
+++ b/decide/registration/registration_test.go
@@ -100,6 +100,86 @@
 	must.True(t, b.Available(start), must.Sprint("the first report of a new start is confirmed by its number"))
 }
 
+// applyAt applies a report at a time and checks its outcome.
+func applyAt(t *testing.T, now time.Time, b registration.Backend, r registration.Report, want registration.ReportOutcome) registration.Backend {
+	t.Helper()
+	b, outcome := registration.Apply(now, b, r, own)
+	must.Eq(t, want, outcome)
+	return b
+}
+
+// A backend server that starts again after the clock of its host was set back states an
+// earlier start than before. Its departure is acknowledged, so it must hold, however
+// long the new start has been known and however it is reported.
+func TestDepartureHoldsAfterClockWasSetBack(t *testing.T) {
+	for name, depart := range map[string]registration.Report{
+		"draining":                      report("a", registration.Draining, 5, 100),
+		"gone":                          {Instance: "a", Phase: registration.Gone, StartedAtMillis: 100},
+		"gone, start time not reported": {Instance: "a", Phase: registration.Gone},
+	} {
+		for _, after := range []time.Duration{time.Second, time.Minute} {
+			b := apply(t, registration.Backend{}, report("a", registration.Ready, 1, 200), registration.Accepted)
+			b = apply(t, b, report("a", registration.Ready, 1, 100), registration.Accepted)
+			must.True(t, b.Available(start), must.Sprint("the instance is the same"))
+			b = applyAt(t, start.Add(after), b, depart, registration.Accepted)
+			must.False(t, b.Available(start.Add(after)), must.Sprint(name, after))
+
+			// A late report of the first start does not take it back.
+			b, _ = registration.Apply(start.Add(after), b, report("a", registration.Ready, 9, 200), own)
+			must.False(t, b.Available(start.Add(after)), must.Sprint(name, after))
+			b = b.WithHealthCheck("a", false)
+			must.False(t, b.Available(start.Add(after)), must.Sprint(name, after))
+		}
+	}
+}
+
+// The departure of a start of which no other report has arrived must hold too.
+func TestDepartureOfUnknownStartHolds(t *testing.T) {
+	for _, startedAt := range []int64{100, 300} {
+		b := apply(t, registration.Backend{}, report("a", registration.Ready, 4, 200), registration.Accepted)
+		b = apply(t, b, registration.Report{Instance: "a", Phase: registration.Gone, StartedAtMillis: startedAt}, registration.Accepted)
+		must.False(t, b.Available(start))
+	}
+}
+
+// A late report of an earlier start that this process does not know must not end the
+// use of the current one: its next report, confirmed by a health check, restores it.
+func TestLateDepartureOfUnknownStartIsCorrected(t *testing.T) {
+	b := apply(t, registration.Backend{}, report("a", registration.Ready, 4, 200), registration.Accepted)
+	b = apply(t, b, report("a", registration.Draining, 30, 100), registration.Accepted)
+	b = apply(t, b, report("a", registration.Ready, 5, 200), registration.Accepted)
+	must.False(t, b.Available(start))
+	must.True(t, b.WithHealthCheck("a", true).Available(start))
+}
+
+// A backend server that starts again under another name after the clock was set back
+// must get requests, once it is certain that its report is not a late one.
+func TestStartUnderAnotherNameAfterClockWasSetBack(t *testing.T) {
+	b := apply(t, registration.Backend{}, report("old", registration.Ready, 9, 200), registration.Accepted)
+	apply(t, b, report("new", registration.Ready, 1, 100), registration.Stale)
+
+	later := start.Add(time.Minute)
+	known := applyAt(t, later, b, report("new", registration.Ready, 40, 100), registration.Accepted)
+	must.False(t, known.Available(later))
+	must.True(t, known.WithHealthCheck("new", true).Available(later))
+
+	b = b.WithReplacedInstance("old")
+	b = apply(t, b, report("new", registration.Ready, 2, 100), registration.Accepted)
+	must.False(t, b.Available(start))
+	must.True(t, b.WithHealthCheck("new", true).Available(start))
+}
+
+// After a departure that was reported to a node that did not know the instance, a start
+// under the same name with an earlier start time must be accepted in the end.
+func TestStartAfterUnknownDepartureAndClockSetBack(t *testing.T) {
+	b := apply(t, registration.Backend{}, registration.Report{Instance: "a", Phase: registration.Gone, StartedAtMillis: 200}, registration.Accepted)
+	apply(t, b, report("a", registration.Ready, 7, 100), registration.Stale)
+	later := start.Add(time.Minute)
+	applyAt(t, later, b, report("a", registration.Ready, 47, 200), registration.Stale)
+	b = applyAt(t, later, b, report("a", registration.Ready, 40, 100), registration.Accepted)
+	must.True(t, b.Available(later))
+}
+
 // A delayed report of the previous instance at the address, which has another
 // name and a higher sequence number, must not replace the current one.
 func TestReportOfPredecessorAtSameAddressIsStale(t *testing.T) {
