A repeated key waits for the end of the first attempt

A caller that repeated a booking right after its response got 409, "the first attempt has not ended".

Cause: the node that answered reports the end of the attempt to the primary of the key in the background, and the report can arrive after the repetition, or be sent again after a second.

A claim of a key that is in flight is sent again for half a second before it is refused.

Evidence: TestClaimWaitsForReportOfTheEnd fails before. TestKeyRunsOnce has failed once with 409 where a repetition follows a response; it was not seen again, and this cause was found by reading.

--- a/decide/idempotency/claim.go
+++ b/decide/idempotency/claim.go
@@ -27,6 +27,11 @@
 // claimRetryInterval is the delay before a claim is sent to the primary again.
 const claimRetryInterval = 50 * time.Millisecond
 
+// inFlightWait is how long a claim waits for the end of an earlier attempt. The report
+// of that end can still be on its way when the caller of that attempt has its response
+// and repeats the request.
+const inFlightWait = 500 * time.Millisecond
+
 // reportRetryInterval is the delay before the next report of an attempt's end.
 const reportRetryInterval = time.Second
 
@@ -111,6 +116,9 @@
 	case ResponseNotStored:
 		return c.refuse(verdict.Ran, verdict.KeyResponseNotStored)
 	case InFlight:
+		if now.Sub(c.Started) < inFlightWait {
+			return c.scheduleRetry(now, claimRetryInterval)
+		}
 		return c.refuse(verdict.MayHaveRun, verdict.KeyInFlight)
 	case OutcomeUnknown:
 		return c.refuse(verdict.MayHaveRun, verdict.KeyOutcomeUnknown)
--- a/test/keys/failures_test.go
+++ b/test/keys/failures_test.go
@@ -178,6 +178,22 @@
 	must.Eq(t, verdict.KeyOutcomeUnknown, sim.book(t, sim.nodes[3], "k").Refusal.Reason)
 }
 
+// TestClaimWaitsForReportOfTheEnd repeats a key while the report that the first attempt
+// has ended is on its way. It guards against a caller that has the response of the first
+// attempt and is told that the attempt has not ended.
+func TestClaimWaitsForReportOfTheEnd(t *testing.T) {
+	sim := newReadySimulation(t)
+	first := sim.startClaim(sim.nodes[0], "k", "x")
+	sim.runHealthy(time.Second, sim.ignoreClaims)
+	must.True(t, sim.startRun(sim.nodes[0], first))
+	repeated := sim.startClaim(sim.nodes[1], "k", "x")
+	sim.runHealthy(200*time.Millisecond, sim.ignoreClaims)
+	sim.endAttempt(sim.nodes[0], first, verdict.Ran)
+	sim.runHealthy(time.Second, sim.ignoreClaims)
+	c, _ := sim.lookUpClaim(sim.nodes[1], repeated)
+	must.Eq(t, idempotency.ClaimReplayed, c.State)
+}
+
 // TestLateNodeWaitsForConfirmation guards against a wrong assignment at a node that
 // starts after the first records of the log expired. A record that it cannot
 // validate takes effect only when a later record names it as its base.
