Reading a request is a function of its own; a body is not charged as a head

serveNext of package pipeline starts requests, and readRequest reads and charges them. A body that is read together with the end of its head was charged as header lines: up to 512 KiB for 4 KiB of empty lines. Callers of a node with platform.kind "log" get the verdict not-run with a refusal for lack of memory, as with every other refusal.

--- a/front/pipeline/account.go
+++ b/front/pipeline/account.go
@@ -31,16 +31,17 @@
 	return maxBufferedRequestBytes
 }
 
-// headCharge charges the memory of a request while its head is read.
+// headCharge charges the memory of a request while it is read.
 type headCharge struct {
 	conn    *conn
 	charged int64
 	lines   int
 }
 
-// add charges the next part of a head. The part can contain bytes after the head,
-// which are charged too.
+// add charges the next part of a head. Bytes after the head are not charged, unless the
+// blank line before them is in two parts.
 func (h *headCharge) add(part []byte) error {
+	part = headPart(part)
 	lines := bytes.Count(part, []byte{'\n'})
 	h.lines += lines
 	if limit := h.conn.account.HeaderLines(); limit > 0 && h.lines > limit {
@@ -58,10 +59,10 @@
 	return nil
 }
 
-// chargeBody charges the buffers of a request's body whose length is stated. One in
-// chunks is charged as it is read. chargeBody returns the length of the part that the
-// handler buffers.
-func (h *headCharge) chargeBody(request *http.Request) (buffered int64, err error) {
+// addBody charges the buffers of a request's body whose length is stated. One in chunks
+// is charged as it is read. addBody returns the length of the part that the handler
+// buffers.
+func (h *headCharge) addBody(request *http.Request) (buffered int64, err error) {
 	buffered = h.conn.server.BufferedBytes(request)
 	if request.ContentLength < 0 {
 		return buffered, nil
@@ -69,35 +70,33 @@
 	return buffered, h.charge(min(request.ContentLength, buffered) * clientload.BufferGrowth)
 }
 
-// bufferedHead returns the part of the buffered bytes that belongs to the next
-// head.
-func bufferedHead(buffered []byte) []byte {
-	end := len(buffered)
+// headPart returns the bytes up to the end of the head.
+func headPart(received []byte) []byte {
+	end := len(received)
 	for _, blankLine := range []string{"\n\r\n", "\n\n"} {
-		if i := bytes.Index(buffered[:end], []byte(blankLine)); i >= 0 {
+		if i := bytes.Index(received[:end], []byte(blankLine)); i >= 0 {
 			end = i + len(blankLine)
 		}
 	}
-	return buffered[:end]
+	return received[:end]
 }
 
-// startHead charges a request whose first bytes are buffered. While other requests
-// of the connection are in flight it waits for one of them to end rather than
-// refuse the request, so that the connection is not read meanwhile.
-func (c *conn) startHead() (*headCharge, error) {
-	head := &headCharge{conn: c}
-	if err := head.charge(c.account.RequestBytes()); err != nil {
-		return head, err
+// start charges a request whose first bytes are buffered.
+func (h *headCharge) start() error {
+	if err := h.charge(h.conn.account.RequestBytes()); err != nil {
+		return err
 	}
-	buffered, err := c.reader.Peek(c.reader.Buffered())
+	reader := h.conn.reader
+	buffered, err := reader.Peek(reader.Buffered())
 	if err != nil {
-		return head, eris.Wrap(err, "pipeline: peek at buffered bytes")
+		return eris.Wrap(err, "pipeline: peek at buffered bytes")
 	}
-	return head, head.add(bufferedHead(buffered))
+	return h.add(buffered)
 }
 
-// chargeOrWait charges n bytes. It returns false if that fails without another
-// request in flight, or if the caller disconnects.
+// chargeOrWait charges n bytes. While other requests of the connection are in flight it
+// waits for one of them to end, so that the connection is not read meanwhile. It returns
+// false if the charge fails without one, or if the caller disconnects.
 func (c *conn) chargeOrWait(n int64) bool {
 	for {
 		// A request releases its memory before it stops being in flight, so the
--- a/front/pipeline/conn.go
+++ b/front/pipeline/conn.go
@@ -81,49 +81,22 @@
 	}
 	c.account.SetReceiving(true)
 	defer c.account.SetReceiving(false)
-	if limits.MaxHeaderBytes > 0 {
-		c.headerReader.Limit(limits.MaxHeaderBytes - int64(c.reader.Buffered()))
-	}
-	head, err := c.startHead()
-	if limits.HeaderTimeout > 0 {
-		_ = c.netConn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	}
-	var request *http.Request
-	if err == nil {
-		c.headerReader.Charge(head.add)
-		request, err = http.ReadRequest(c.reader)
-		c.headerReader.Unlimit()
-	}
-	if cause := c.headerReader.Err(); err != nil && cause != nil {
-		err = cause
-	}
-	if err != nil && c.hasGivenWay() {
-		err = errNoMemory
-	}
-	_ = c.netConn.SetReadDeadline(time.Time{})
-	var buffered int64
-	if err == nil {
-		if limits.MaxBodyBytes > 0 && request.ContentLength > limits.MaxBodyBytes {
-			err = errBodyTooLarge
-		} else {
-			buffered, err = head.chargeBody(request)
-		}
-	}
+	charge := &headCharge{conn: c}
+	request, buffered, err := c.readRequest(limits, charge)
 	if err != nil {
-		c.account.Release(head.charged)
+		c.account.Release(charge.charged)
 		c.writeHeaderError(err)
 		return false
 	}
-	request.RemoteAddr = c.netConn.RemoteAddr().String()
 	c.account.MarkServed()
 	if !c.acquireSlot() {
-		c.account.Release(head.charged)
+		c.account.Release(charge.charged)
 		return false
 	}
 	x := newExchange(c, request, limits.MaxBodyBytes, buffered)
-	x.charged.Store(head.charged)
+	x.charged.Store(charge.charged)
 	if !c.add(x) {
-		c.account.Release(head.charged)
+		c.account.Release(charge.charged)
 		return false
 	}
 	if !x.isBuffering() {
@@ -138,6 +111,38 @@
 	return x.body.readToEnd
 }
 
+// readRequest reads the head of a request whose first bytes are buffered, and charges
+// it and the part of the body that the handler buffers, whose length it returns.
+func (c *conn) readRequest(limits Limits, charge *headCharge) (request *http.Request, buffered int64, err error) {
+	if limits.MaxHeaderBytes > 0 {
+		c.headerReader.Limit(limits.MaxHeaderBytes - int64(c.reader.Buffered()))
+	}
+	err = charge.start()
+	if limits.HeaderTimeout > 0 {
+		_ = c.netConn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	}
+	if err == nil {
+		c.headerReader.Charge(charge.add)
+		request, err = http.ReadRequest(c.reader)
+		c.headerReader.Unlimit()
+	}
+	_ = c.netConn.SetReadDeadline(time.Time{})
+	if cause := c.headerReader.Err(); err != nil && cause != nil {
+		err = cause
+	}
+	switch {
+	case err != nil && c.hasGivenWay():
+		return nil, 0, errNoMemory
+	case err != nil:
+		return nil, 0, err
+	case limits.MaxBodyBytes > 0 && request.ContentLength > limits.MaxBodyBytes:
+		return nil, 0, errBodyTooLarge
+	}
+	request.RemoteAddr = c.netConn.RemoteAddr().String()
+	buffered, err = charge.addBody(request)
+	return request, buffered, err
+}
+
 // acquireSlot waits until the request that was read can run. It returns false if
 // the caller disconnects before that.
 func (c *conn) acquireSlot() bool {
--- a/node/node.go
+++ b/node/node.go
@@ -311,6 +311,10 @@
 	if n.options.Adapter == nil {
 		c.Handler = n.keyedHandler(c.Handler)
 		c.BufferedBytes = keyed.BufferedBytes
+		c.AddRefusalHeaders = func(h http.Header, reason verdict.Reason) {
+			h.Set(hop.HeaderVerdict, verdict.NotRun.String())
+			h.Set(hop.HeaderReason, string(reason))
+		}
 	}
 	return n.newServer(n.listeners.callers, c)
 }
