Forwarded heads follow the limit of the configuration

A configuration can permit callers larger heads than 64 KiB. The peers' listener takes twice what callers may send, whatever that is, so that a request that was accepted is not refused at the next node.

--- a/node/node.go
+++ b/node/node.go
@@ -277,9 +277,9 @@
 	// stays open.
 	controlIdleTimeout = time.Minute
 	maxHeaderBytes     = 64 << 10
-	// maxForwardedHeaderBytes is more than maxHeaderBytes because a node writes the
-	// shortest lines that it reads, of three bytes, as lines of five, and adds its own.
-	maxForwardedHeaderBytes = 2 * maxHeaderBytes
+	// forwardedHeadGrowth is the ratio of a forwarded head to the one that was received:
+	// a node writes the shortest lines, of three bytes, as lines of five, and adds its own.
+	forwardedHeadGrowth = 2
 	// maxControlBodyBytes limits the body of a request between nodes that is not a
 	// caller's.
 	maxControlBodyBytes = 4 << 20
@@ -347,7 +347,7 @@
 
 func (n *Node) peerLimits() pipeline.Limits {
 	return pipeline.Limits{
-		MaxHeaderBytes: maxForwardedHeaderBytes, HeaderTimeout: headerTimeout,
+		MaxHeaderBytes: forwardedHeadGrowth * max(n.callerLimits().MaxHeaderBytes, maxHeaderBytes), HeaderTimeout: headerTimeout,
 		WriteTimeout: n.options.Settings.Traffic.BodyIdle(), Connections: n.options.Settings.Clients.PeerConnections,
 	}
 }
