Trailers of a short response before its turn are sent

Cause: a response that is complete before its turn gets a length, which leaves no place for trailers. Its turn comes when the goroutine of the response before has ended, which can be a moment after the client has that response and sends the next request.

A response with trailers has chunks, unless its client speaks HTTP/1.0.

Evidence: TestTrailersOfResponseBeforeItsTurn fails before.

--- a/front/pipeline/exchange.go
+++ b/front/pipeline/exchange.go
@@ -299,11 +299,13 @@
 		return
 	}
 	x.headerWritten = true
+	trailers := trailerNames(x.header)
+	hasChunks := x.request.ProtoAtLeast(1, 1)
 	bodyless := x.request.Method == http.MethodHead || x.status == http.StatusNoContent || x.status == http.StatusNotModified
 	if x.header.Get("Content-Length") == "" && !bodyless {
-		if length >= 0 {
+		if length >= 0 && (len(trailers) == 0 || !hasChunks) { // trailers have a place only behind chunks
 			x.header.Set("Content-Length", strconv.FormatInt(length, 10))
-		} else if !x.request.ProtoAtLeast(1, 1) {
+		} else if !hasChunks {
 			x.undelimited = true
 		} else {
 			x.chunked = true
@@ -325,7 +327,7 @@
 	w := x.conn.writer
 	_, err := w.WriteString("HTTP/1.1 " + statusLine(x.status) + "\r\n")
 	x.setError(err)
-	x.setError(x.header.WriteSubset(w, trailerNames(x.header)))
+	x.setError(x.header.WriteSubset(w, trailers))
 	_, err = w.WriteString("\r\n")
 	x.setError(err)
 	buffered := x.buffered.Bytes()
--- a/front/pipeline/pipeline_test.go
+++ b/front/pipeline/pipeline_test.go
@@ -95,6 +95,24 @@
 	})
 }
 
+// Guards against trailers that are lost because a short response is complete before its
+// turn, and would get a length in place of chunks.
+func TestTrailersOfResponseBeforeItsTurn(t *testing.T) {
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		echo(w, r)
+		must.NoError(t, http.NewResponseController(w).Flush())
+		w.Header().Set(http.TrailerPrefix+"X-Sum", "1")
+	}
+	runWithServer(t, pipeline.Limits{}, handler, func(c client, _ *pipeline.Server) {
+		c.get("/a?after=50ms", "/b")
+		for _, want := range []string{"/a", "/b"} {
+			response, body := c.readResponse()
+			must.Eq(t, want, body)
+			must.Eq(t, "1", response.Trailer.Get("X-Sum"), must.Sprint(want))
+		}
+	})
+}
+
 // A caller sends all requests after a response with Connection: close again, also
 // ones that are not idempotent. If the server had already read one of them, it
 // would run twice.
