A failed connection does not revoke slots

A request that has a slot was refused as well while the backend server gets no requests because a connection to it has failed.

drain.State tells a temporary pause from a departure; only a departure, or the stop of the node, revokes a slot.

--- a/controllers/registration/registration.go
+++ b/controllers/registration/registration.go
@@ -77,8 +77,10 @@
 		r.Limits.Set(tx, admit.Limits{Slots: b.Slots, Queue: int(r.QueuePerSlot * float64(b.Slots)), PriorityOnly: true})
 		r.SlotLimit.Set(tx, limit.Fixed(now, b.Slots))
 	}
-	if state := r.Drain.Get(tx); !state.Stopping && state.Draining == b.Available(now) {
-		r.Drain.Set(tx, drain.State{Draining: !b.Available(now), Since: now})
+	available := b.Available(now)
+	temporary := !available && b.Phase == registration.Ready && !b.Unverified
+	if state := r.Drain.Get(tx); !state.Stopping && (state.Draining == available || state.Temporary != temporary) {
+		r.Drain.Set(tx, drain.State{Draining: !available, Temporary: temporary, Since: now})
 	}
 	if b.Phase == registration.Ready && now.Before(b.DownUntil) {
 		return controller.Result{RequeueAfter: b.DownUntil.Sub(now)}
--- a/decide/drain/drain.go
+++ b/decide/drain/drain.go
@@ -29,6 +29,9 @@
 type State struct {
 	// Draining is true while the backend server takes no new requests.
 	Draining bool
+	// Temporary is true if it is expected to take them again in a moment: a connection
+	// to it failed.
+	Temporary bool
 	// Stopping is true once the node itself is to end when no request is in
 	// flight.
 	Stopping bool
@@ -55,6 +58,10 @@
 	return State{Draining: true, Stopping: true, Since: now}
 }
 
+// IsLeaving reports whether a request that has a slot and was not sent yet must not be
+// sent any more.
+func (s State) IsLeaving() bool { return s.Draining && !s.Temporary }
+
 // WithKillAfter returns the state of a stopping node that is killed the given
 // time after the stop began; zero for never.
 func (s State) WithKillAfter(within time.Duration) State {
--- a/front/peer/handler.go
+++ b/front/peer/handler.go
@@ -200,7 +200,7 @@
 }
 
 // errDraining is the cause of ending a wait because the backend server is leaving.
-var errDraining = eris.New("peer: the backend server takes no new requests")
+var errDraining = eris.New("peer: the backend server is leaving")
 
 // awaitFirstBytes waits for the first bytes of a body that the peer sends on admission.
 // It gives up when the backend server begins to drain, so that the caller learns in
@@ -212,17 +212,17 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go func() {
-		if _, err := h.Tables.Drain.Await(ctx, func(s drain.State) bool { return s.Draining }); err == nil {
+		if _, err := h.Tables.Drain.Await(ctx, drain.State.IsLeaving); err == nil {
 			cancel(errDraining)
 		}
 	}()
 	return body.awaitFirstBytes(ctx, w)
 }
 
-// checkDrain returns an error if the backend server takes no new requests, although the
-// request got a slot before.
+// checkDrain returns an error if the backend server is leaving, although the request got
+// a slot before.
 func (h *Handler) checkDrain() *verdict.Error {
-	if h.Tables.Drain.Load().Draining {
+	if h.Tables.Drain.Load().IsLeaving() {
 		return verdict.New(verdict.NotRun, verdict.Draining, errDraining)
 	}
 	return nil
